--- /dev/null
+++ b/src/autoscale/autoscale.cpp
@@ -0,0 +1,309 @@
+#include "autoscale/autoscale.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/log.hpp"
+
+namespace asterstair::autoscale {
+namespace {
+
+constexpr auto kTick = 1s;
+constexpr auto kListEvery = 5s;
+constexpr auto kRefusedFor = 15s;   // no capacity: asked again after this
+constexpr auto kAskAgain = 2s;      // an unanswered rental, with its name
+constexpr int kAskTries = 30;
+constexpr double kBootPatience = 4;  // times the nominal boot time
+constexpr auto kBootExtra = 20s;
+constexpr double kIdleBoots = 2;     // an idle machine is kept so many boot times
+constexpr auto kSilentPatience = 20s;  // beyond the lease, before a silent machine is returned
+
+}  // namespace
+
+std::vector<Want> wanted(const std::vector<fleet::Demand>& demand, const cloud::Catalog& catalog,
+                         const std::map<std::string, Coming>& coming,
+                         const std::function<bool(const Pool&)>& refused) {
+  struct Empty {
+    const MachineType* type;
+    std::string zone;
+    bool spot;
+    sched::Use free;
+  };
+  std::vector<Empty> machines;
+  for (const auto& [id, c] : coming) {
+    if (const auto* t = catalog.find(c.pool.type)) {
+      machines.push_back({t, c.pool.zone, c.pool.spot, {t->cpus, t->gpus, t->memory_gb}});
+    }
+  }
+  std::vector<Want> out;
+  for (const auto& d : demand) {
+    const JobSpec& job = *d.job;
+    double left = d.tasks;
+    for (auto& m : machines) {
+      if (left < 1) break;
+      if (!job.allows_type(m.type->name) || (m.spot && !job.spot) || (job.zone && *job.zone != m.zone)) {
+        continue;
+      }
+      while (left >= 1 && sched::fits(job, m.free)) {
+        m.free.add(job, -1);
+        left -= 1;
+      }
+    }
+    if (left < 1) continue;
+    // The type that holds a task most cheaply, of those to be had.
+    const MachineType* best = nullptr;
+    double best_price = 0;
+    bool best_spot = false;
+    for (const auto& [name, t] : catalog.types()) {
+      if (!job.allows_type(name) || t.fits(job) == 0) continue;
+      if (job.gpus <= 0 && t.gpus > 0) continue;  // accelerators are for those that need them
+      for (const bool spot : {true, false}) {
+        if (spot && !job.spot) continue;
+        bool any = false;
+        for (const auto& z : t.zones) {
+          any = any || ((!job.zone || *job.zone == z) && !refused({name, z, spot}));
+        }
+        if (!any) continue;
+        // All the type's room counts: other tasks will share the machine.
+        double per_machine = t.cpus / std::max(job.cpus, 1e-9);
+        if (job.gpus > 0) per_machine = std::min(per_machine, t.gpus / job.gpus);
+        if (job.memory_gb > 0) per_machine = std::min(per_machine, t.memory_gb / job.memory_gb);
+        const double price = (spot ? t.spot_price : t.price) / std::floor(per_machine + 1e-6);
+        if (best == nullptr || price < best_price) {
+          best = &t;
+          best_price = price;
+          best_spot = spot;
+        }
+      }
+    }
+    if (best == nullptr) continue;
+    // Short tasks share a machine one after the other while others would still be booting.
+    sched::Use whole{best->cpus, best->gpus, best->memory_gb};
+    double per_machine = 0;
+    while (per_machine < left && sched::fits(job, whole)) {
+      whole.add(job, -1);
+      per_machine += 1;
+    }
+    const double at_once = std::ceil(left / per_machine);
+    const double turns = std::max(1.0, best->boot.count() / std::max(d.remaining.count(), 1.0));
+    const auto count = static_cast<std::size_t>(std::max(1.0, std::ceil(at_once / turns)));
+    out.push_back({best->name, count, best_spot, &job});
+    for (std::size_t i = 0; i < count; ++i) {
+      machines.push_back({best, job.zone.value_or(best->zones.front()), best_spot,
+                          {best->cpus, best->gpus, best->memory_gb}});
+      auto& m = machines.back();
+      for (double n = 0; n < per_machine && sched::fits(job, m.free); n += 1) m.free.add(job, -1);
+    }
+  }
+  return out;
+}
+
+Autoscaler::Autoscaler(Runtime& runtime, cloud::Cloud& cloud, const leader::Election& election,
+                       const Settings& settings, const cloud::Catalog& catalog,
+                       std::shared_ptr<fleet::Fleet> fleet)
+    : runtime_(runtime),
+      cloud_(cloud),
+      election_(election),
+      settings_(settings),
+      catalog_(catalog),
+      fleet_(std::move(fleet)) {}
+
+void Autoscaler::tick() {
+  if (stopped_) return;
+  runtime_.after(kTick, [self = weak_from_this()] {
+    if (const auto a = self.lock()) a->tick();
+  });
+  if (!election_.entitled() || !fleet_->loaded() || !catalog_.known()) return;
+  const auto now = runtime_.now();
+  if (!listing_ && now - last_list_ >= kListEvery && cloud_.may_call()) {
+    listing_ = true;
+    last_list_ = now;
+    list("", std::make_shared<std::vector<ListedMachine>>());
+  }
+  give_back();
+  // What an earlier leader rented shows in the list first.
+  if (first_list_ != TimePoint{} && fleet_->settled()) rent();
+}
+
+void Autoscaler::list(const std::string& after, std::shared_ptr<std::vector<ListedMachine>> so_far) {
+  cloud_.list(after, [self = weak_from_this(), so_far](std::optional<wire::MachinePage> page) {
+    const auto a = self.lock();
+    if (!a || a->stopped_) return;
+    if (!page) {
+      a->listing_ = false;
+      return;
+    }
+    for (auto& m : page->machines) so_far->push_back(std::move(m));
+    if (page->more && !so_far->empty()) {
+      const std::string last = so_far->back().id;
+      a->list(last, so_far);
+      return;
+    }
+    a->listing_ = false;
+    if (a->first_list_ == TimePoint{}) a->first_list_ = a->runtime_.now();
+    a->listed(*so_far);
+  });
+}
+
+void Autoscaler::listed(const std::vector<ListedMachine>& machines) {
+  const auto now = runtime_.now();
+  std::set<std::string> names;
+  for (const auto& m : machines) {
+    names.insert(m.id);
+    if (gone_.count(m.id) != 0) continue;
+    const auto known = fleet_->machines().all().find(m.id);
+    const bool reported = known != fleet_->machines().all().end() && known->second.reported;
+    if (m.state == ListedMachine::State::Failed) {
+      to_return_.insert(m.id);
+    } else if (!reported && coming_.count(m.id) == 0) {
+      // Rented by an earlier leader, or by a request thought lost: used like any other.
+      coming_[m.id] = {{m.type, m.zone, m.spot}, now - to_duration(m.age)};
+    }
+  }
+  // Taken back or given up while it was coming: lists lag, so only after a while.
+  for (auto it = coming_.begin(); it != coming_.end();) {
+    const bool due = now - it->second.since > settings_.list_lag * 3 + 10s;
+    it = due && names.count(it->first) == 0 ? coming_.erase(it) : std::next(it);
+  }
+  for (auto it = gone_.begin(); it != gone_.end();) {
+    it = now - it->second > settings_.list_lag * 3 + 60s ? gone_.erase(it) : std::next(it);
+  }
+}
+
+bool Autoscaler::refused(const Pool& pool) const {
+  const auto it = refused_until_.find(pool);
+  return it != refused_until_.end() && runtime_.now() < it->second;
+}
+
+void Autoscaler::rent() {
+  const auto now = runtime_.now();
+  for (auto it = coming_.begin(); it != coming_.end();) {
+    const auto m = fleet_->machines().all().find(it->first);
+    const bool up = m != fleet_->machines().all().end() && m->second.reported;
+    it = up ? coming_.erase(it) : std::next(it);
+  }
+  auto coming = coming_;
+  for (const auto& [name, r] : asked_) {
+    for (std::size_t i = 0; i < r.count; ++i) {
+      coming[name + "/" + std::to_string(i)] = {{r.type, r.zone, r.spot}, now};
+    }
+  }
+  const auto wants =
+      wanted(fleet_->demand(), catalog_, coming, [this](const Pool& p) { return refused(p); });
+  for (const auto& w : wants) {
+    if (!cloud_.may_call()) return;
+    const auto* type = catalog_.find(w.type);
+    // Zones where most machines of the type run already come last: losses come by zone.
+    std::map<std::string, std::size_t> there;
+    for (const auto& [id, m] : fleet_->machines().all()) {
+      if (m.type == w.type && m.reported && !m.silent) ++there[m.zone];
+    }
+    for (const auto& [id, c] : coming) {
+      if (c.pool.type == w.type) ++there[c.pool.zone];
+    }
+    const std::string* zone = nullptr;
+    for (const auto& z : type->zones) {
+      if (refused({w.type, z, w.spot}) || (w.job->zone && *w.job->zone != z)) continue;
+      if (zone == nullptr || there[z] < there[*zone]) zone = &z;
+    }
+    if (zone == nullptr) continue;
+    // Names carry the token and a counter: never used again, not even by another node.
+    wire::RentalRequest request{"r-" + std::to_string(election_.token()) + "-" +
+                                    std::to_string(++requests_),
+                                w.type, *zone, w.spot, std::min(w.count, wire::kMostRented)};
+    asked_[request.request] = request;
+    for (std::size_t i = 0; i < request.count; ++i) {
+      coming[request.request + "/" + std::to_string(i)] = {{w.type, *zone, w.spot}, now};
+    }
+    send(std::move(request), kAskTries);
+  }
+}
+
+void Autoscaler::send(wire::RentalRequest request, int tries) {
+  cloud_.rent(request, [self = weak_from_this(), request, tries](const cloud::Cloud::RentResult& r) {
+    const auto a = self.lock();
+    if (!a || a->stopped_) return;
+    using Outcome = cloud::Cloud::RentResult::Outcome;
+    const auto now = a->runtime_.now();
+    const Pool pool{request.type, request.zone, request.spot};
+    if (r.outcome == Outcome::Unknown && tries > 0) {
+      // It may have been carried out: asked again under its name, until it is known.
+      a->runtime_.after(kAskAgain, [self, request, tries] {
+        if (const auto b = self.lock(); b && !b->stopped_) b->send(request, tries - 1);
+      });
+      return;
+    }
+    a->asked_.erase(request.request);
+    if (r.outcome == Outcome::Rented) {
+      for (const auto& id : r.machines) a->coming_[id] = {pool, now};
+      log::info("rented {} of {} {} {} in {}", r.machines.size(), request.count,
+                request.spot ? "spot" : "ordinary", request.type, request.zone);
+      if (r.machines.size() < request.count) a->refused_until_[pool] = now + kRefusedFor;
+    } else if (r.outcome == Outcome::NoCapacity) {
+      a->refused_until_[pool] = now + kRefusedFor;
+    }
+  });
+}
+
+void Autoscaler::give_back() {
+  const auto now = runtime_.now();
+  const auto& all = fleet_->machines().all();
+  // Boots that never come.
+  for (const auto& [id, c] : coming_) {
+    const auto* type = catalog_.find(c.pool.type);
+    const Seconds boot = type != nullptr ? type->boot : Seconds(60);
+    if (all.count(id) != 0 && all.at(id).reported) continue;
+    if (now - c.since > to_duration(boot * kBootPatience) + kBootExtra) {
+      if (to_return_.insert(id).second) log::info("machine {} has not come up; returned", id);
+    }
+  }
+  std::map<std::string, TimePoint> idle;
+  for (const auto& [id, m] : all) {
+    if (m.silent && m.reported && now - m.last_answered > settings_.lease + kSilentPatience) {
+      to_return_.insert(id);
+      continue;
+    }
+    if (!m.reported || m.silent) continue;
+    if (m.holds_tasks()) {
+      if (m.draining && !m.faulty) fleet_->undrain(id);
+      continue;
+    }
+    const auto since = idle_since_.find(id);
+    idle[id] = since == idle_since_.end() ? now : since->second;
+    const auto* type = catalog_.find(m.type);
+    const Duration keep = to_duration((type != nullptr ? type->boot : Seconds(60)) * kIdleBoots);
+    // Drained first; returned once a later turn still finds it without tasks. Exited tasks wait
+    // for their results to be durable.
+    if (m.faulty || (fleet_->settled() && now - idle[id] > keep)) {
+      if (m.draining && m.occupants.empty()) {
+        to_return_.insert(id);
+      } else {
+        fleet_->drain(id);
+      }
+    }
+  }
+  idle_since_ = std::move(idle);
+
+  if (to_return_.empty() || returning_ || !cloud_.may_call()) return;
+  std::vector<std::string> names;
+  for (const auto& id : to_return_) {
+    if (names.size() >= wire::kMostReturned) break;
+    names.push_back(id);
+  }
+  returning_ = true;
+  cloud_.give_back(names, [self = weak_from_this(), names](bool done) {
+    const auto a = self.lock();
+    if (!a || a->stopped_) return;
+    a->returning_ = false;
+    if (!done) return;
+    for (const auto& id : names) {
+      log::info("returned {}", id);
+      a->to_return_.erase(id);
+      a->coming_.erase(id);
+      a->gone_[id] = a->runtime_.now();
+      a->fleet_->machine_gone(id);
+    }
+  });
+}
+
+}  // namespace asterstair::autoscale
--- /dev/null
+++ b/src/base/model.cpp
@@ -0,0 +1,25 @@
+#include "base/model.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace asterstair {
+
+bool JobSpec::allows_type(const std::string& type) const {
+  return !types || std::find(types->begin(), types->end(), type) != types->end();
+}
+
+bool MachineType::in_zone(const std::string& zone) const {
+  return std::find(zones.begin(), zones.end(), zone) != zones.end();
+}
+
+std::uint32_t MachineType::fits(const JobSpec& job) const {
+  constexpr double kSlack = 1e-6;
+  double n = job.tasks;
+  if (job.cpus > 0) n = std::min(n, std::floor(cpus / job.cpus + kSlack));
+  if (job.gpus > 0) n = std::min(n, std::floor(gpus / job.gpus + kSlack));
+  if (job.memory_gb > 0) n = std::min(n, std::floor(memory_gb / job.memory_gb + kSlack));
+  return static_cast<std::uint32_t>(std::max(0.0, n));
+}
+
+}  // namespace asterstair
--- /dev/null
+++ b/src/base/settings.hpp
@@ -0,0 +1,59 @@
+#pragma once
+// The platform's settings file.
+
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "base/time.hpp"
+
+namespace asterstair {
+
+// 0 means no guarantee or no limit.
+struct TeamSettings {
+  std::string name;
+  double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;
+};
+
+struct Sibling {
+  std::string node, zone, address;
+};
+
+struct Objective {
+  std::string kind, job_class;
+  Seconds within{0};
+  double share = 0;
+};
+
+struct Settings {
+  std::string node, zone, api_address, peer_address;
+  std::vector<Sibling> siblings;
+  std::string cloud_address, state_address;
+  std::vector<std::string> zones;
+  std::map<std::string, TeamSettings> teams;
+  std::vector<Objective> objectives;
+  Duration report_every{}, lease{}, gang_wait{}, gang_peer{}, cancel_within{};
+  double state_rps = 0, state_write_rps = 0;
+  std::size_t value_bytes = 0, txn_ops = 0;
+  double cloud_rps = 0;
+  Duration list_lag{};
+  std::size_t max_connections = 0;
+
+  std::size_t nodes() const { return siblings.size() + 1; }
+};
+
+// Names the offending field in one line.
+struct SettingsError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+Settings parse_settings(std::string_view toml_text);
+Settings load_settings(const std::string& path);
+
+// How long the leader's grant lives. Long enough to ride out ordinary trouble of the state
+// service, short enough that a leader cut off from the store loses its entitlement, and its
+// workers their leases, before a cancellation it could not see must have taken effect.
+Duration leader_ttl(const Settings& settings);
+
+}  // namespace asterstair
--- /dev/null
+++ b/src/cloud/cloud.cpp
@@ -0,0 +1,82 @@
+#include "cloud/cloud.hpp"
+
+#include "base/log.hpp"
+
+namespace asterstair::cloud {
+namespace {
+
+constexpr auto kTimeout = 5s;
+// A new leader may start while calls of the last one still count.
+constexpr double kCallShare = 0.8;
+
+template <typename F>
+auto guarded(F decode) -> std::optional<decltype(decode())> {
+  try {
+    return decode();
+  } catch (const std::exception& e) {
+    log::error("cloud: malformed answer: {}", e.what());
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+Cloud::Cloud(Runtime& runtime, const Settings& s)
+    : runtime_(runtime), address_(s.cloud_address), calls_(s.cloud_rps * kCallShare, s.cloud_rps) {}
+
+bool Cloud::may_call() { return calls_.wait_for(1, runtime_.now()) <= Duration::zero(); }
+
+void Cloud::call(HttpRequest request, HttpCallback done) {
+  calls_.force(1, runtime_.now());
+  runtime_.http(address_, std::move(request), kTimeout, [this, done = std::move(done)](HttpResponse r) {
+    if (r.status == 429) calls_.refused(runtime_.now(), 500ms);
+    done(std::move(r));
+  });
+}
+
+void Cloud::machine_types(std::function<void(std::optional<std::vector<MachineType>>)> done) {
+  call(wire::machine_types_request(), [done = std::move(done)](const HttpResponse& r) {
+    if (r.status != 200) {
+      done(std::nullopt);
+      return;
+    }
+    done(guarded([&] { return wire::decode_machine_types(r.body); }));
+  });
+}
+
+void Cloud::rent(const wire::RentalRequest& request, std::function<void(RentResult)> done) {
+  call(wire::rent_request(request), [done = std::move(done)](const HttpResponse& r) {
+    RentResult out;
+    if (r.status == 200) {
+      if (auto machines = guarded([&] { return wire::decode_rented(r.body); })) {
+        out = {RentResult::Outcome::Rented, std::move(*machines)};
+      }
+    } else if (r.status == 503 && r.body.find("capacity") != std::string::npos) {
+      out.outcome = RentResult::Outcome::NoCapacity;
+    } else if (r.status == 429 || r.status == 503) {
+      out.outcome = RentResult::Outcome::Refused;
+    } else if (r.status == 400) {
+      log::error("cloud refused a rental: {}", r.body);
+      out.outcome = RentResult::Outcome::NoCapacity;
+    }
+    done(std::move(out));
+  });
+}
+
+void Cloud::give_back(const std::vector<std::string>& machines, std::function<void(bool)> done) {
+  call(wire::return_request(machines),
+       [done = std::move(done)](const HttpResponse& r) { done(r.status == 200); });
+}
+
+void Cloud::list(const std::string& after,
+                 std::function<void(std::optional<wire::MachinePage>)> done) {
+  call(wire::list_request(after), [done = std::move(done)](const HttpResponse& r) {
+    if (r.status != 200) {
+      done(std::nullopt);
+      return;
+    }
+    done(guarded([&] { return wire::decode_machines(r.body); }));
+  });
+}
+
+}  // namespace asterstair::cloud
--- /dev/null
+++ b/src/fleet/fleet.hpp
@@ -0,0 +1,119 @@
+#pragma once
+// One term of leadership: the wanted state (live jobs done) against what the workers report, and
+// the loops that work out the difference. A Fleet lives from one election to its loss; its
+// successor starts from the state service and the workers' reports.
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/runtime.hpp"
+#include "base/settings.hpp"
+#include "cloud/catalog.hpp"
+#include "fleet/jobs.hpp"
+#include "fleet/machines.hpp"
+#include "leader/election.hpp"
+#include "sched/loss.hpp"
+#include "sched/planner.hpp"
+#include "store/store.hpp"
+
+namespace asterstair::fleet {
+
+// Waiting work that the machines at hand have no room for.
+struct Demand {
+  JobSpecPtr job;
+  std::uint32_t tasks = 0;  // within the team's limit
+  Seconds remaining{0};
+  double slack = 0;
+};
+
+struct JobCounts {
+  std::string job;
+  std::uint32_t done = 0, running = 0;
+};
+
+class Fleet : public std::enable_shared_from_this<Fleet> {
+ public:
+  Fleet(Runtime& runtime, store::Store& store, const leader::Election& election,
+        const Settings& settings, const cloud::Catalog& catalog);
+  void start();
+  void stop() { stopped_ = true; }
+
+  HttpResponse report(const WorkerReport& report);
+
+  bool loaded() const { return loaded_; }
+  bool settled() const { return settled_; }
+  const std::vector<Demand>& demand() const { return demand_; }
+  const Machines& machines() const { return machines_; }
+  const Jobs& jobs() const { return jobs_; }
+  const sched::LossRates& losses() const { return losses_; }
+  std::vector<JobCounts> counts() const;
+  std::map<std::pair<std::string, bool>, std::size_t> group_sizes() const;
+
+  // Wanted by the autoscaler: no new work for the machine; what is on it ends or is stopped.
+  void drain(const std::string& machine);
+  void undrain(const std::string& machine);
+  // The cloud has confirmed that the machine and all on it are gone.
+  void machine_gone(const std::string& machine);
+
+ private:
+  using Events = std::vector<TaskEvent>;
+
+  void load();
+  void load_progress();
+  void load_roster();
+  void watch(std::uint64_t after);
+  void reload_later();
+  void add_live(const wire::Item& item);
+  void job_ended(const std::string& id);
+
+  void tick();
+  void expire_leases();
+  void check_settled();
+  void write_roster();
+  void begin_jobs();
+  void begin(Job& job);
+  void flush(Job& job);
+  void finish(Job& job);
+  void handle(Machine& machine, const Events& events);
+  void on_exit(Machine& machine, const Occupant& occupant);
+  void on_error(Machine& machine, Job& job);
+  void on_gone(Machine& machine, const Occupant& occupant, bool lost);
+  void stop_occupant(Occupant& occupant, Seconds grace);
+  void release_plans();
+  void check_gangs();
+  void check_notices();
+  void send_direct(const std::vector<std::pair<std::string, Command>>& stops);
+  void plan();
+  sched::Snapshot snapshot(std::vector<std::string>& machine_ids, std::vector<std::string>& job_ids);
+  void preempt(sched::Snapshot& snapshot, const sched::Plan& plan,
+               const std::vector<std::string>& machine_ids);
+  std::vector<Command> commands_for(Machine& machine, std::uint64_t seq);
+  bool usable(const Machine& machine) const;
+  double slack_of(const Job& job, Seconds remaining) const;
+  Seconds remaining_of(const Job& job) const;
+  Seconds age_of(const Job& job) const;
+  double cache_gb(const std::string& type) const;
+  bool alive() const { return !stopped_; }
+  bool view_fresh() const;
+
+  Runtime& runtime_;
+  store::Store& store_;
+  const leader::Election& election_;
+  const Settings& settings_;
+  const cloud::Catalog& catalog_;
+
+  std::uint64_t token_ = 0, attempts_ = 0;
+  TimePoint elected_at_{}, view_at_{}, last_plan_{};
+  bool stopped_ = false, loaded_ = false, settled_ = false, plan_wanted_ = false;
+  std::uint64_t live_revision_ = 0;
+  Jobs jobs_;
+  Machines machines_;
+  std::vector<std::set<std::string>> roster_;  // as durable
+  std::set<std::string> roster_waiting_;
+  bool roster_writing_ = false;
+  sched::LossRates losses_;
+  std::vector<Demand> demand_;
+};
+
+}  // namespace asterstair::fleet
--- /dev/null
+++ b/src/fleet/jobs.hpp
@@ -0,0 +1,67 @@
+#pragma once
+// The leader's view of the live jobs and what it has made durable about them.
+
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/model.hpp"
+#include "base/time.hpp"
+
+namespace asterstair::fleet {
+
+struct Placed {
+  std::string machine;
+  std::uint64_t attempt = 0;
+};
+
+struct Job {
+  JobSpecPtr spec;
+  std::uint64_t version = 0;  // of the live record
+  WallTime accepted{};
+  std::vector<bool> done;
+  std::uint32_t done_count = 0;
+  std::vector<std::uint32_t> waiting;  // neither done nor placed
+  std::unordered_map<std::uint32_t, Placed> placed;
+  std::unordered_map<std::uint32_t, double> saved_s;  // progress known to be saved, by task
+  std::set<std::size_t> dirty;                        // chunks not yet durable
+  bool begun = false;        // its first progress record is durable
+  bool begun_before = false;  // by an earlier leader: tasks may be where nobody has reported
+  bool beginning = false, flushing = false, ending = false;
+  bool first_started = false;
+  std::string last_zone;
+  std::set<std::string> failed_on;  // machines
+  std::uint32_t failure_rounds = 0;
+  TimePoint not_before{};
+  TimePoint last_flush{};
+
+  std::uint32_t unfinished() const { return spec->tasks - done_count; }
+  bool all_done() const { return done_count == spec->tasks; }
+};
+
+class Jobs {
+ public:
+  Job* find(const std::string& id);
+  // Adds or updates a live job. Returns it.
+  Job& add(JobSpec spec, std::uint64_t version, WallTime accepted);
+  void erase(const std::string& id) { all_.erase(id); }
+  std::map<std::string, Job>& all() { return all_; }
+  const std::map<std::string, Job>& all() const { return all_; }
+
+  // A task's place. False if it cannot be placed there: it is done or placed elsewhere.
+  static bool place(Job& job, std::uint32_t index, Placed placed);
+  // Takes a waiting task.
+  static std::uint32_t take_waiting(Job& job);
+  // The attempt is known gone; the task waits again unless it is done.
+  static void unplace(Job& job, std::uint32_t index, const Placed& placed);
+  static bool set_done(Job& job, std::uint32_t index, std::size_t chunk);
+  // Waiting is recomputed from done and placed.
+  static void rebuild_waiting(Job& job);
+
+ private:
+  std::map<std::string, Job> all_;
+};
+
+}  // namespace asterstair::fleet
--- /dev/null
+++ b/src/fleet/machines.cpp
@@ -0,0 +1,122 @@
+#include "fleet/machines.hpp"
+
+#include <algorithm>
+
+namespace asterstair::fleet {
+
+bool Machine::holds_tasks() const {
+  return std::any_of(occupants.begin(), occupants.end(),
+                     [](const auto& o) { return o.second.holds_room(); });
+}
+
+void Machine::use_image(const JobSpec& job, double cache_gb) {
+  const auto it = std::find_if(image_use.begin(), image_use.end(),
+                               [&](const auto& i) { return i.first == job.image; });
+  if (it != image_use.end()) {
+    image_use.splice(image_use.end(), image_use, it);
+    return;
+  }
+  image_use.emplace_back(job.image, job.image_gb);
+  images.insert(job.image);
+  double total = 0;
+  for (const auto& [name, gb] : image_use) total += gb;
+  while (cache_gb > 0 && total > cache_gb && image_use.size() > 1) {
+    total -= image_use.front().second;
+    images.erase(image_use.front().first);
+    image_use.pop_front();
+  }
+}
+
+Machine* Machines::find(const std::string& id) {
+  const auto it = all_.find(id);
+  return it == all_.end() ? nullptr : &it->second;
+}
+
+void Machines::clear(Machine& m, std::vector<TaskEvent>& events) {
+  for (auto& [key, o] : m.occupants) {
+    if (o.phase == Occupant::Phase::Exited) continue;
+    events.push_back({o.phase == Occupant::Phase::Planned ? TaskEvent::Kind::NotStarted
+                                                          : TaskEvent::Kind::Vanished,
+                      o});
+  }
+  m.occupants.clear();
+}
+
+Machines::Order Machines::apply(const WorkerReport& r, TimePoint now, double cache_gb,
+                                std::vector<TaskEvent>& events) {
+  Machine& m = all_[r.machine];
+  if (m.reported && std::pair(r.session, r.seq) <= std::pair(m.session, m.seq)) return Order::Late;
+  // A new session begins after the worker has killed and forgotten everything.
+  if (r.session > m.session) clear(m, events);
+  if (!m.reported) m.first_report = now;
+  m.id = r.machine;
+  m.address = r.address;
+  m.type = r.type;
+  m.zone = r.zone;
+  m.spot = r.spot;
+  m.session = r.session;
+  m.seq = r.seq;
+  m.reported = true;
+  m.silent = false;
+  m.last_report = now;
+  if (r.notice) {
+    m.goes_at = now + to_duration(*r.notice);
+  } else {
+    m.goes_at.reset();
+  }
+
+  std::set<std::pair<TaskId, std::uint64_t>> seen;
+  for (const auto& t : r.tasks) {
+    const auto key = std::pair(t.task, t.attempt);
+    seen.insert(key);
+    const auto [it, adopted] = m.occupants.try_emplace(key);
+    Occupant& o = it->second;
+    const auto before = o.phase;
+    if (adopted) {
+      o.task = t.task;
+      o.attempt = t.attempt;
+      o.planned_at = now;
+    }
+    if (before == Occupant::Phase::Exited) continue;
+    const bool was_running = o.phase == Occupant::Phase::Present && o.state == TaskState::Running;
+    o.state = t.state;
+    if (t.state == TaskState::Running && !was_running && o.running_since == TimePoint{}) {
+      o.running_since = now;
+    }
+    if (o.job && t.state != TaskState::Fetching &&
+        (t.state != TaskState::Exited || t.cause == ExitCause::Done)) {
+      m.use_image(*o.job, cache_gb);
+    }
+    if (t.state == TaskState::Exited) {
+      o.phase = Occupant::Phase::Exited;
+      o.cause = t.cause;
+      o.saved = t.saved;
+      events.push_back({TaskEvent::Kind::Exited, o});
+    } else {
+      o.phase = Occupant::Phase::Present;
+      if (adopted) {
+        events.push_back({TaskEvent::Kind::Adopted, o});
+      } else if (before != Occupant::Phase::Present) {
+        events.push_back({TaskEvent::Kind::Started, o});
+      }
+    }
+  }
+  for (auto it = m.occupants.begin(); it != m.occupants.end();) {
+    const Occupant& o = it->second;
+    if (seen.count(it->first) != 0 || o.phase == Occupant::Phase::Planned) {
+      ++it;
+      continue;
+    }
+    // An order sent in the answer to an earlier report is settled by this one: the worker drops
+    // the answer to a report that it has given up. An exited task was cleared, as told.
+    if (o.phase == Occupant::Phase::Ordered) {
+      events.push_back({TaskEvent::Kind::NotStarted, o});
+    } else if (o.phase == Occupant::Phase::Present) {
+      events.push_back({TaskEvent::Kind::Vanished, o});
+    }
+    it = m.occupants.erase(it);
+  }
+  return Order::New;
+}
+
+}  // namespace asterstair::fleet
--- /dev/null
+++ b/src/fleet/machines.hpp
@@ -0,0 +1,89 @@
+#pragma once
+// What is known of the machines: sessions, reports and the tasks that are, or may be, on them.
+// Pure state; unknown counts as present.
+
+#include <list>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/model.hpp"
+#include "base/time.hpp"
+
+namespace asterstair::fleet {
+
+// A task that is, or may be, on a machine.
+struct Occupant {
+  enum class Phase {
+    Planned,  // chosen, its start order not yet sent
+    Ordered,  // sent in the answer to report `ordered_seq`; the next report settles it
+    Present,  // reported
+    Exited    // reported as ended; holds no room
+  };
+  TaskId task;
+  std::uint64_t attempt = 0;
+  JobSpecPtr job;  // none: of a job this node knows nothing of
+  Phase phase = Phase::Planned;
+  TaskState state = TaskState::Fetching;
+  ExitCause cause = ExitCause::None;
+  bool saved = false;
+  std::uint64_t ordered_seq = 0;
+  TimePoint planned_at{}, running_since{};
+  bool stop = false;
+  Seconds grace{0};
+  bool forget = false;  // may be cleared from the worker's reports
+
+  bool holds_room() const { return phase != Phase::Exited; }
+};
+
+struct Machine {
+  std::string id, address, type, zone;
+  bool spot = false;
+  std::uint64_t session = 0, seq = 0;
+  bool reported = false;  // under this leader's token
+  bool silent = false;    // its lease has surely run out: nothing runs there
+  TimePoint first_report{}, last_report{}, last_answered{};
+  std::optional<TimePoint> goes_at;  // spot notice
+  bool draining = false;
+  bool faulty = false;
+  bool rostered = false;  // durable: a later leader will wait for it
+  TimePoint no_room_until{}, paused_until{};
+  std::set<std::string> failed_jobs;  // since its last success
+  std::uint32_t failures = 0;
+  TimePoint idle_since{};
+  std::map<std::pair<TaskId, std::uint64_t>, Occupant> occupants;
+  // Images seen here, the latest used last.
+  std::list<std::pair<std::string, double>> image_use;
+  std::set<std::string> images;
+
+  bool holds_tasks() const;
+  void use_image(const JobSpec& job, double cache_gb);
+};
+
+// What a report, or the end of a lease, says about a task.
+struct TaskEvent {
+  enum class Kind { Adopted, Started, Exited, NotStarted, Vanished } kind;
+  Occupant occupant;  // as it was, or is, at that moment
+};
+
+class Machines {
+ public:
+  Machine& at(const std::string& id) { return all_[id]; }
+  Machine* find(const std::string& id);
+  std::map<std::string, Machine>& all() { return all_; }
+  const std::map<std::string, Machine>& all() const { return all_; }
+
+  enum class Order { New, Late };
+  // Applies a report made under this leader's token. Late ones change nothing.
+  Order apply(const WorkerReport& report, TimePoint now, double cache_gb,
+              std::vector<TaskEvent>& events);
+  // Its lease has surely run out, or the cloud has confirmed that it is gone.
+  void clear(Machine& machine, std::vector<TaskEvent>& events);
+  void erase(const std::string& id) { all_.erase(id); }
+
+ private:
+  std::map<std::string, Machine> all_;
+};
+
+}  // namespace asterstair::fleet
--- /dev/null
+++ b/src/frontend/frontend.cpp
@@ -0,0 +1,209 @@
+#include "frontend/frontend.hpp"
+
+#include "base/log.hpp"
+#include "wire/user.hpp"
+
+namespace asterstair::frontend {
+namespace {
+
+constexpr std::size_t kMostFinals = 4000;
+constexpr int kCancelTries = 4;
+// Users wait at least a second before they ask again, and longer if told.
+constexpr std::chrono::seconds kComeBack{1};
+
+HttpResponse failure(int status, std::string_view message) {
+  return {status, wire::encode_error(message)};
+}
+
+}  // namespace
+
+Frontend::Frontend(Runtime& runtime, store::Store& store, const Settings& settings,
+                   const cloud::Catalog& catalog)
+    : runtime_(runtime), store_(store), settings_(settings), catalog_(catalog) {}
+
+HttpResponse Frontend::unavailable() const {
+  auto r = failure(503, "the state service does not answer");
+  r.retry_after = kComeBack;
+  return r;
+}
+
+void Frontend::remember(const std::string& id, const store::FinalRecord& record) {
+  if (!finals_.emplace(id, record).second) return;
+  finals_order_.push_back(id);
+  if (finals_order_.size() > kMostFinals) {
+    finals_.erase(finals_order_.front());
+    finals_order_.pop_front();
+  }
+}
+
+void Frontend::look_up(const std::string& id, std::function<void(Found)> done) {
+  const auto known = finals_.find(id);
+  if (known != finals_.end()) {
+    done({Found::Outcome::Final, {}, 0, known->second});
+    return;
+  }
+  // Live before final: a job that ends in between is found by the second read.
+  store_.get(store::live_key(id), [this, id, done = std::move(done)](const store::ReadResult& r) {
+    if (r.outcome == store::ReadOutcome::Found) {
+      Found found;
+      try {
+        found = {Found::Outcome::Live, store::decode_live(*r.item.value), r.item.version, {}};
+      } catch (const wire::BadMessage& e) {
+        log::error("live record of {} is malformed: {}", id, e.what());
+      }
+      done(std::move(found));
+      return;
+    }
+    if (r.outcome == store::ReadOutcome::Unavailable) {
+      done({});
+      return;
+    }
+    store_.get(store::final_key(id), [this, id, done](const store::ReadResult& f) {
+      Found found;
+      if (f.outcome == store::ReadOutcome::Missing) found.outcome = Found::Outcome::Absent;
+      if (f.outcome == store::ReadOutcome::Found) {
+        try {
+          found.final = store::decode_final(*f.item.value);
+          found.outcome = Found::Outcome::Final;
+          remember(id, found.final);
+        } catch (const wire::BadMessage& e) {
+          log::error("final record of {} is malformed: {}", id, e.what());
+        }
+      }
+      done(std::move(found));
+    });
+  });
+}
+
+void Frontend::answer_known(const std::string& id, const Found& found, const Respond& respond,
+                            HttpResponse if_absent) {
+  switch (found.outcome) {
+    case Found::Outcome::Unavailable:
+      respond(unavailable());
+      return;
+    case Found::Outcome::Absent:
+      respond(std::move(if_absent));
+      return;
+    case Found::Outcome::Final: {
+      const auto n = found.final.cancelled ? 0 : found.final.tasks;
+      respond({200, wire::encode_status(
+                        id, found.final.cancelled ? JobStage::Cancelled : JobStage::Done, n, 0)});
+      return;
+    }
+    case Found::Outcome::Live: {
+      const auto it = counts_.find(id);
+      const auto c = it == counts_.end() ? Counts{} : it->second;
+      respond({200, wire::encode_status(id, c.running > 0 ? JobStage::Running : JobStage::Queued,
+                                        c.done, c.running)});
+      return;
+    }
+  }
+}
+
+void Frontend::status(const std::string& id, const Respond& respond) {
+  if (!wire::valid_job_id(id)) {
+    respond(failure(404, "no such job"));
+    return;
+  }
+  look_up(id, [this, id, respond](const Found& found) {
+    answer_known(id, found, respond, failure(404, "no such job"));
+  });
+}
+
+void Frontend::submit(const std::string& body, const Respond& respond) {
+  std::string id;
+  HttpResponse refusal;
+  JobSpec job;
+  try {
+    const auto json = wire::parse(body);
+    id = wire::job_id_of(json);
+    job = wire::decode_job(json);
+    const auto team = settings_.teams.find(job.team);
+    const double n = job.gang() ? job.tasks : 1;
+    if (team == settings_.teams.end()) {
+      refusal = failure(422, "unknown team");
+    } else if ((team->second.cpus_max > 0 && job.cpus * n > team->second.cpus_max + 1e-6) ||
+               (team->second.gpus_max > 0 && job.gpus * n > team->second.gpus_max + 1e-6)) {
+      refusal = failure(422, "the job needs more than its team's limit");
+    } else if (!catalog_.known()) {
+      refusal = failure(503, "the machine types are not known yet");
+      refusal.retry_after = kComeBack;
+    } else if (!catalog_.can_hold(job)) {
+      refusal = failure(422, "a task fits no allowed machine type");
+    }
+  } catch (const wire::BadMessage& e) {
+    refusal = failure(400, e.what());
+  }
+  if (refusal.status == 0) {
+    accept(std::move(job), respond);
+    return;
+  }
+  if (id.empty()) {
+    respond(std::move(refusal));
+    return;
+  }
+  // A job that is known already is never refused, whatever the repeat looks like.
+  look_up(id, [this, id, respond, refusal](const Found& found) {
+    answer_known(id, found, respond, refusal);
+  });
+}
+
+void Frontend::accept(JobSpec job, const Respond& respond) {
+  wire::Txn txn;
+  const std::string id = job.id;
+  txn.conditions = {{store::live_key(id), 0}, {store::final_key(id), 0}};
+  auto value = store::encode_live(job, runtime_.wall());
+  if (wire::dump(value).size() > settings_.value_bytes) {
+    respond(failure(400, "the description is too long"));
+    return;
+  }
+  txn.changes = {{store::live_key(id), std::move(value)}};
+  store_.write(std::move(txn), store::Urgency::User,
+               [this, id, respond](const store::WriteResult& r) {
+                 if (r.outcome == store::WriteOutcome::Committed) {
+                   respond({201, wire::encode_status(id, JobStage::Queued)});
+                 } else if (r.outcome == store::WriteOutcome::NotDone) {
+                   respond(unavailable());
+                 } else {
+                   // Known already, or the write may have been carried out: the store tells.
+                   look_up(id, [this, id, respond](const Found& found) {
+                     answer_known(id, found, respond, unavailable());
+                   });
+                 }
+               });
+}
+
+void Frontend::cancel(const std::string& id, const Respond& respond) {
+  if (!wire::valid_job_id(id)) {
+    respond(failure(404, "no such job"));
+    return;
+  }
+  cancel_once(id, kCancelTries, respond);
+}
+
+void Frontend::cancel_once(const std::string& id, int tries, const Respond& respond) {
+  look_up(id, [this, id, tries, respond](const Found& found) {
+    if (found.outcome != Found::Outcome::Live) {
+      answer_known(id, found, respond, failure(404, "no such job"));
+      return;
+    }
+    if (tries == 0) {
+      respond(unavailable());
+      return;
+    }
+    auto txn = store::end_job(found.live.job, found.version, true, settings_.value_bytes,
+                              settings_.txn_ops);
+    store_.write(std::move(txn), store::Urgency::User,
+                 [this, id, tries, respond](const store::WriteResult& r) {
+                   if (r.outcome == store::WriteOutcome::Committed) {
+                     respond({200, wire::encode_status(id, JobStage::Cancelled)});
+                   } else if (r.outcome == store::WriteOutcome::NotDone) {
+                     respond(unavailable());
+                   } else {
+                     cancel_once(id, tries - 1, respond);
+                   }
+                 });
+  });
+}
+
+}  // namespace asterstair::frontend
--- /dev/null
+++ b/src/leader/election.cpp
@@ -0,0 +1,159 @@
+#include "leader/election.hpp"
+
+#include "base/log.hpp"
+
+namespace asterstair::leader {
+namespace {
+
+// Room for the steps between deciding and the packet leaving.
+constexpr auto kMargin = 300ms;
+constexpr auto kTouchEvery = 2s;
+constexpr auto kTouchRetry = 300ms;
+constexpr auto kCheckRetry = 400ms;
+constexpr auto kWatchWait = 10s;
+
+}  // namespace
+
+Election::Election(Runtime& runtime, store::Store& store, const Settings& settings, Events events)
+    : runtime_(runtime),
+      store_(store),
+      node_(settings.node),
+      ttl_(leader_ttl(settings)),
+      events_(std::move(events)) {}
+
+void Election::start() { check(); }
+
+void Election::look_again() {
+  if (!leading()) check();
+}
+
+void Election::check_later(Duration delay) {
+  const auto epoch = ++epoch_;
+  runtime_.after(delay, [this, epoch] {
+    if (epoch == epoch_) check();
+  });
+}
+
+void Election::check() {
+  const auto epoch = ++epoch_;
+  store_.get(store::kLeaderKey, [this, epoch](const store::ReadResult& r) {
+    if (epoch != epoch_ || leading()) return;
+    if (r.outcome == store::ReadOutcome::Unavailable) {
+      check_later(kCheckRetry);
+      return;
+    }
+    if (r.outcome == store::ReadOutcome::Missing) {
+      leader_.clear();
+      claim(0);
+      return;
+    }
+    store::LeaderRecord record;
+    try {
+      record = store::decode_leader(*r.item.value);
+    } catch (const wire::BadMessage& e) {
+      log::error("leader key is malformed: {}", e.what());
+    }
+    if (record.node == node_) {
+      if (pending_claim_ != 0 && record.claim == pending_claim_) {
+        lead(r.item.version, pending_grant_, pending_since_);
+      } else {
+        // An earlier process of this node held it, and has ended: a node runs one process. The
+        // claim writes the key, so late transactions of that process fail.
+        claim(r.item.version);
+      }
+      return;
+    }
+    leader_ = record.node;
+    follow(r.item.version);
+  });
+}
+
+void Election::follow(std::uint64_t version) {
+  const auto epoch = ++epoch_;
+  store_.watch(store::kLeaderKey, version, kWatchWait, [this, epoch, version](store::WatchResult r) {
+    if (epoch != epoch_) return;
+    if (r.outcome == store::WatchResult::Outcome::Events && r.events.items.empty()) {
+      follow(version);
+    } else if (r.outcome == store::WatchResult::Outcome::Unavailable) {
+      check_later(kCheckRetry);
+    } else {
+      check();
+    }
+  });
+}
+
+void Election::claim(std::uint64_t expected_version) {
+  const auto epoch = ++epoch_;
+  const auto sent = runtime_.now();
+  store_.create_grant(ttl_, [this, epoch, sent, expected_version](std::optional<std::uint64_t> grant) {
+    if (epoch != epoch_) return;
+    if (!grant) {
+      check_later(kCheckRetry);
+      return;
+    }
+    pending_claim_ = runtime_.rng()() >> 1U;
+    pending_grant_ = *grant;
+    pending_since_ = sent;
+    wire::Txn txn;
+    txn.conditions.push_back({store::kLeaderKey, expected_version});
+    txn.changes.push_back(
+        {store::kLeaderKey, store::encode_leader({node_, pending_claim_}), pending_grant_});
+    store_.write(std::move(txn), store::Urgency::User, [this, epoch](const store::WriteResult& r) {
+      if (epoch != epoch_) return;
+      if (r.outcome == store::WriteOutcome::Committed) {
+        lead(r.revision, pending_grant_, pending_since_);
+      } else if (r.outcome == store::WriteOutcome::Conflict) {
+        store_.drop_grant(pending_grant_);
+        check();
+      } else {
+        check_later(kCheckRetry);  // reading the key tells whether it was carried out
+      }
+    });
+  });
+}
+
+void Election::lead(std::uint64_t token, std::uint64_t grant, TimePoint touched) {
+  token_ = token;
+  grant_ = grant;
+  pending_claim_ = 0;
+  leader_ = node_;
+  entitled_until_ = touched + to_duration(Seconds(seconds(ttl_) * (1 - kClockDrift))) - kMargin;
+  log::info("leading with token {}", token_);
+  events_.elected(token_);
+  touch();
+}
+
+void Election::touch() {
+  const auto epoch = ++epoch_;
+  const auto sent = runtime_.now();
+  store_.touch_grant(grant_, [this, epoch, sent](store::GrantOutcome r) {
+    if (epoch != epoch_) return;
+    if (r == store::GrantOutcome::Gone) {
+      lose();
+      return;
+    }
+    Duration next = kTouchRetry;
+    if (r == store::GrantOutcome::Alive) {
+      const bool resumed = !entitled();
+      entitled_until_ = sent + to_duration(Seconds(seconds(ttl_) * (1 - kClockDrift))) - kMargin;
+      if (resumed && entitled()) log::info("entitled again with token {}", token_);
+      next = std::min<Duration>(kTouchEvery, ttl_ / 6);
+    } else if (!entitled()) {
+      log::debug("not entitled: the state service does not answer");
+    }
+    runtime_.after(next, [this, epoch] {
+      if (epoch == epoch_) touch();
+    });
+  });
+}
+
+void Election::lose() {
+  log::info("no longer leading; the grant of token {} is gone", token_);
+  token_ = 0;
+  grant_ = 0;
+  leader_.clear();
+  events_.lost();
+  check();
+}
+
+}  // namespace asterstair::leader
--- /dev/null
+++ b/src/leader/election.hpp
@@ -0,0 +1,56 @@
+#pragma once
+// Who leads. The leader key hangs on a grant; the key's version is the token. A node may act only
+// while its grant, counted from when its last successful touch was sent, is surely alive.
+
+#include <functional>
+#include <string>
+
+#include "base/runtime.hpp"
+#include "base/settings.hpp"
+#include "store/records.hpp"
+#include "store/store.hpp"
+
+namespace asterstair::leader {
+
+class Election {
+ public:
+  struct Events {
+    std::function<void(std::uint64_t token)> elected;
+    std::function<void()> lost;
+  };
+
+  Election(Runtime& runtime, store::Store& store, const Settings& settings, Events events);
+  void start();
+
+  bool leading() const { return token_ != 0; }
+  bool entitled() const { return leading() && runtime_.now() < entitled_until_; }
+  std::uint64_t token() const { return token_; }
+  // The condition every write of the leader carries.
+  wire::Condition guard() const { return {store::kLeaderKey, token_}; }
+  // Last known leader, this node included; empty if unknown.
+  const std::string& leader() const { return leader_; }
+  // The key's drop was seen elsewhere, or a write's guard failed: look again.
+  void look_again();
+
+ private:
+  void check();
+  void check_later(Duration delay);
+  void follow(std::uint64_t version);
+  void claim(std::uint64_t expected_version);
+  void lead(std::uint64_t token, std::uint64_t grant, TimePoint touched);
+  void touch();
+  void lose();
+
+  Runtime& runtime_;
+  store::Store& store_;
+  std::string node_;
+  Duration ttl_;
+  Events events_;
+  std::uint64_t token_ = 0, grant_ = 0;
+  std::uint64_t pending_claim_ = 0, pending_grant_ = 0;
+  TimePoint pending_since_{}, entitled_until_{};
+  std::string leader_;
+  std::uint64_t epoch_ = 0;  // answers to requests of an earlier state of affairs are dropped
+};
+
+}  // namespace asterstair::leader
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,52 @@
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <iostream>
+
+#include "base/log.hpp"
+#include "net/http_server.hpp"
+#include "net/loop.hpp"
+#include "node/node.hpp"
+
+int main(int argc, char** argv) {
+  using namespace asterstair;
+  CLI::App app{"asterstair: a cluster scheduler. Logging level: LOG_LEVEL=error|info|debug."};
+  std::string config;
+  bool check = false;
+  app.set_version_flag("--version", std::string("asterstair ") + ASTERSTAIR_VERSION);
+  app.add_option("--config", config, "Settings file (TOML)")->required();
+  app.add_flag("--check", check, "Check the settings file and exit");
+  CLI11_PARSE(app, argc, argv);
+
+  Settings settings;
+  try {
+    settings = load_settings(config);
+  } catch (const SettingsError& e) {
+    std::cerr << e.what() << '\n';
+    return 2;
+  }
+  if (check) {
+    std::cout << "settings are valid\n";
+    return 0;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  log::init(settings.node);
+  try {
+    net::LoopRuntime runtime(settings);
+    Node node(runtime, settings);
+    net::HttpServer::Limits limits;
+    // The rest is for the node's own connections: state service, cloud, siblings.
+    limits.connections = settings.max_connections * 5 / 8;
+    net::HttpServer server(runtime.loop(), limits, [&](HttpRequest request, net::Respond respond) {
+      node.handle(std::move(request), respond);
+    });
+    server.listen(settings.api_address);
+    runtime.peers().listen([&](const std::string& message) { node.peer_message(message); });
+    log::info("started in zone {}", settings.zone);
+    node.start();
+    runtime.run();
+  } catch (const std::exception& e) {
+    std::cerr << "asterstair: " << e.what() << '\n';
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,253 @@
+#include "net/http_server.hpp"
+
+#include <http_parser.h>
+
+#include <stdexcept>
+
+#include "net/address.hpp"
+#include "wire/user.hpp"
+
+namespace asterstair::net {
+namespace {
+
+constexpr std::size_t kLongestTarget = 2048;
+constexpr std::size_t kMostPipelined = 16 * 1024;
+
+const char* reason(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 413:
+      return "Payload Too Large";
+    case 421:
+      return "Misdirected Request";
+    case 422:
+      return "Unprocessable Entity";
+    case 429:
+      return "Too Many Requests";
+    case 503:
+      return "Service Unavailable";
+    default:
+      return "Status";
+  }
+}
+
+}  // namespace
+
+struct HttpServer::Connection {
+  HttpServer* owner = nullptr;
+  std::uint64_t id = 0;
+  uv_tcp_t tcp{};
+  uv_timer_t timer{};
+  uv_write_t write{};
+  http_parser parser{};
+  int handles = 2;
+  bool closing = false, busy = false, in_request = false, complete = false, too_large = false;
+  bool keep = true, paused = false;
+  HttpRequest request;
+  std::string pending;  // bytes that came while a request was being answered
+  std::string outgoing;
+  char buffer[8192];
+};
+
+HttpServer::HttpServer(uv_loop_t* loop, Limits limits, Handler handler)
+    : loop_(loop), limits_(limits), handler_(std::move(handler)) {}
+
+void HttpServer::listen(const std::string& address) {
+  const auto target = parse_address(address);
+  if (!target) throw std::runtime_error("cannot listen on " + address + ": not an IPv4 address");
+  uv_tcp_init(loop_, &listener_);
+  listener_.data = this;
+  int e = uv_tcp_bind(&listener_, reinterpret_cast<const sockaddr*>(&*target), 0);
+  if (e == 0) {
+    e = uv_listen(reinterpret_cast<uv_stream_t*>(&listener_), 256, [](uv_stream_t* s, int status) {
+      if (status == 0) static_cast<HttpServer*>(s->data)->accept();
+    });
+  }
+  if (e != 0) throw std::runtime_error("cannot listen on " + address + ": " + uv_strerror(e));
+}
+
+int HttpServer::port() const {
+  sockaddr_in out{};
+  int size = sizeof out;
+  uv_tcp_getsockname(&listener_, reinterpret_cast<sockaddr*>(&out), &size);
+  return ntohs(out.sin_port);
+}
+
+void HttpServer::accept() {
+  auto* c = new Connection;
+  c->owner = this;
+  c->id = next_id_++;
+  uv_tcp_init(loop_, &c->tcp);
+  uv_timer_init(loop_, &c->timer);
+  c->tcp.data = c->timer.data = c->write.data = c->parser.data = c;
+  connections_.insert(c);
+  live_.insert(c->id);
+  if (uv_accept(reinterpret_cast<uv_stream_t*>(&listener_),
+                reinterpret_cast<uv_stream_t*>(&c->tcp)) != 0 ||
+      connections_.size() > limits_.connections) {
+    close(c);
+    return;
+  }
+  uv_tcp_nodelay(&c->tcp, 1);
+  http_parser_init(&c->parser, HTTP_REQUEST);
+  arm(c, limits_.idle_time);
+  uv_read_start(
+      reinterpret_cast<uv_stream_t*>(&c->tcp),
+      [](uv_handle_t* h, std::size_t, uv_buf_t* b) {
+        auto* k = static_cast<Connection*>(h->data);
+        *b = uv_buf_init(k->buffer, sizeof k->buffer);
+      },
+      [](uv_stream_t* s, ssize_t n, const uv_buf_t* b) {
+        auto* k = static_cast<Connection*>(s->data);
+        if (n < 0) {
+          k->owner->close(k);
+        } else if (n > 0 && k->busy) {
+          // PROTOCOL forbids pipelining; a little is kept, a flood is not.
+          if (k->pending.size() + static_cast<std::size_t>(n) > kMostPipelined) {
+            k->owner->close(k);
+          } else {
+            k->pending.append(b->base, static_cast<std::size_t>(n));
+          }
+        } else if (n > 0) {
+          k->owner->parse(k, b->base, static_cast<std::size_t>(n));
+        }
+      });
+}
+
+void HttpServer::arm(Connection* c, Duration time) {
+  uv_timer_start(
+      &c->timer,
+      [](uv_timer_t* t) {
+        auto* k = static_cast<Connection*>(t->data);
+        k->owner->close(k);
+      },
+      static_cast<std::uint64_t>(std::chrono::ceil<milliseconds>(time).count()), 0);
+}
+
+void HttpServer::close(Connection* c) {
+  if (c->closing) return;
+  c->closing = true;
+  connections_.erase(c);
+  live_.erase(c->id);
+  const auto closed = [](uv_handle_t* h) {
+    auto* conn = static_cast<Connection*>(h->data);
+    if (--conn->handles == 0) delete conn;
+  };
+  uv_close(reinterpret_cast<uv_handle_t*>(&c->tcp), closed);
+  uv_close(reinterpret_cast<uv_handle_t*>(&c->timer), closed);
+}
+
+void HttpServer::parse(Connection* c, const char* data, std::size_t size) {
+  static const http_parser_settings kSettings = [] {
+    http_parser_settings p;
+    http_parser_settings_init(&p);
+    p.on_message_begin = [](http_parser* q) {
+      auto* x = static_cast<Connection*>(q->data);
+      x->request = HttpRequest{};
+      x->too_large = false;
+      return 0;
+    };
+    p.on_url = [](http_parser* q, const char* at, std::size_t len) {
+      auto* x = static_cast<Connection*>(q->data);
+      if (x->request.target.size() + len > kLongestTarget) return 1;
+      x->request.target.append(at, len);
+      return 0;
+    };
+    p.on_headers_complete = [](http_parser* q) {
+      auto* x = static_cast<Connection*>(q->data);
+      if (q->content_length != ULLONG_MAX && q->content_length > x->owner->limits_.body) {
+        x->too_large = true;
+        return 1;
+      }
+      return 0;
+    };
+    p.on_body = [](http_parser* q, const char* at, std::size_t len) {
+      auto* x = static_cast<Connection*>(q->data);
+      if (x->request.body.size() + len > x->owner->limits_.body) {
+        x->too_large = true;
+        return 1;
+      }
+      x->request.body.append(at, len);
+      return 0;
+    };
+    p.on_message_complete = [](http_parser* q) {
+      auto* x = static_cast<Connection*>(q->data);
+      x->request.method = http_method_str(static_cast<http_method>(q->method));
+      x->complete = true;
+      http_parser_pause(q, 1);
+      return 0;
+    };
+    return p;
+  }();
+  if (!c->in_request) {
+    c->in_request = true;
+    arm(c, limits_.request_time);
+  }
+  const auto used = http_parser_execute(&c->parser, &kSettings, data, size);
+  if (c->complete) {
+    c->complete = false;
+    http_parser_pause(&c->parser, 0);
+    c->keep = http_should_keep_alive(&c->parser) != 0;
+    if (used < size) c->pending.assign(data + used, size - used);
+    dispatch(c);
+    return;
+  }
+  if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK || c->parser.upgrade != 0) {
+    c->keep = false;
+    c->busy = true;
+    answer(c, {c->too_large ? 413 : 400,
+               wire::encode_error(c->too_large ? "the body is too large" : "not HTTP")});
+  }
+}
+
+void HttpServer::dispatch(Connection* c) {
+  c->busy = true;
+  uv_timer_stop(&c->timer);
+  const auto id = c->id;
+  handler_(std::move(c->request), [this, c, id](const HttpResponse& response) {
+    if (live_.count(id) != 0) answer(c, response);
+  });
+}
+
+void HttpServer::answer(Connection* c, const HttpResponse& response) {
+  c->outgoing = "HTTP/1.1 " + std::to_string(response.status) + " " + reason(response.status) +
+                "\r\nContent-Type: application/json\r\nContent-Length: " +
+                std::to_string(response.body.size()) + "\r\n";
+  if (response.retry_after) {
+    c->outgoing += "Retry-After: " + std::to_string(response.retry_after->count()) + "\r\n";
+  }
+  if (!c->keep) c->outgoing += "Connection: close\r\n";
+  c->outgoing += "\r\n";
+  c->outgoing += response.body;
+  arm(c, limits_.request_time);  // an answer nobody reads ends too
+  uv_buf_t b = uv_buf_init(c->outgoing.data(), static_cast<unsigned>(c->outgoing.size()));
+  const int e =
+      uv_write(&c->write, reinterpret_cast<uv_stream_t*>(&c->tcp), &b, 1, [](uv_write_t* w, int s) {
+        auto* k = static_cast<Connection*>(w->data);
+        if (k->closing) return;
+        if (s != 0 || !k->keep) {
+          k->owner->close(k);
+          return;
+        }
+        k->busy = false;
+        k->in_request = false;
+        k->owner->arm(k, k->owner->limits_.idle_time);
+        if (!k->pending.empty()) {
+          const std::string more = std::move(k->pending);
+          k->pending.clear();
+          k->owner->parse(k, more.data(), more.size());
+        }
+      });
+  if (e != 0) close(c);
+}
+
+}  // namespace asterstair::net
--- /dev/null
+++ b/src/net/http_server.hpp
@@ -0,0 +1,52 @@
+#pragma once
+// HTTP/1.1 server over libuv: bounded connections, bounded requests, one request at a time on a
+// connection.
+
+#include <uv.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+#include "base/runtime.hpp"
+
+namespace asterstair::net {
+
+using Respond = std::function<void(HttpResponse)>;
+using Handler = std::function<void(HttpRequest, Respond)>;
+
+class HttpServer {
+ public:
+  struct Limits {
+    std::size_t connections = 500;
+    std::size_t body = 64 * 1024;
+    Duration request_time = 10s;  // from a request's first byte to its last
+    Duration idle_time = 120s;
+  };
+
+  HttpServer(uv_loop_t* loop, Limits limits, Handler handler);
+  void listen(const std::string& address);  // throws std::runtime_error
+  int port() const;
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  struct Connection;
+
+  void accept();
+  void arm(Connection* connection, Duration time);
+  void close(Connection* connection);
+  void dispatch(Connection* connection);
+  void answer(Connection* connection, const HttpResponse& response);
+  void parse(Connection* connection, const char* data, std::size_t size);
+
+  uv_loop_t* loop_;
+  Limits limits_;
+  Handler handler_;
+  uv_tcp_t listener_{};
+  std::unordered_set<Connection*> connections_;
+  std::unordered_set<std::uint64_t> live_;
+  std::uint64_t next_id_ = 1;
+};
+
+}  // namespace asterstair::net
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,201 @@
+#include "node/node.hpp"
+
+#include "base/log.hpp"
+#include "wire/user.hpp"
+#include "wire/worker.hpp"
+
+namespace asterstair {
+namespace {
+
+constexpr auto kHintsEvery = 1s;
+constexpr auto kHeardWithin = 3s;
+constexpr auto kTypesEvery = 60s, kTypesRetry = 2s;
+constexpr auto kProbeEvery = 1s;
+constexpr std::size_t kMostCounts = 2000;
+
+HttpResponse failure(int status, std::string_view message) {
+  return {status, wire::encode_error(message)};
+}
+
+}  // namespace
+
+Node::Node(Runtime& runtime, Settings settings)
+    : runtime_(runtime),
+      settings_(std::move(settings)),
+      store_(runtime_, settings_),
+      cloud_(runtime_, settings_),
+      frontend_(runtime_, store_, settings_, catalog_),
+      election_(runtime_, store_, settings_, {[this](std::uint64_t) { elected(); }, [this] { lost(); }}) {
+  for (const auto& s : settings_.siblings) siblings_[s.node];
+}
+
+void Node::start() {
+  started_ = runtime_.now();
+  election_.start();
+  learn_types();
+  share_hints();
+  probe_store();
+}
+
+void Node::elected() {
+  lost();
+  fleet_ = std::make_shared<fleet::Fleet>(runtime_, store_, election_, settings_, catalog_);
+  autoscaler_ = std::make_shared<autoscale::Autoscaler>(runtime_, cloud_, election_, settings_,
+                                                        catalog_, fleet_);
+  fleet_->start();
+  autoscaler_->start();
+}
+
+void Node::lost() {
+  if (autoscaler_) autoscaler_->stop();
+  if (fleet_) fleet_->stop();
+  autoscaler_.reset();
+  fleet_.reset();
+}
+
+// Machine types come from the cloud; what was seen last is kept in the state service, so that a
+// node that starts while the cloud is down can decide about submissions.
+void Node::learn_types() {
+  if (!catalog_.known()) {
+    store_.get(store::kCatalogKey, [this](const store::ReadResult& r) {
+      if (r.outcome != store::ReadOutcome::Found || types_fresh_) return;
+      try {
+        catalog_.set(wire::decode_machine_types(wire::dump(*r.item.value)));
+      } catch (const wire::BadMessage& e) {
+        log::error("catalog is malformed: {}", e.what());
+      }
+    });
+  }
+  cloud_.machine_types([this](std::optional<std::vector<MachineType>> types) {
+    if (types && !types->empty()) {
+      const bool first = !types_fresh_;
+      types_fresh_ = true;
+      catalog_.set(*types);
+      auto value = wire::encode_machine_types(*types);
+      if (first && wire::dump(value).size() < settings_.value_bytes) {
+        wire::Txn txn;
+        txn.changes = {{store::kCatalogKey, std::move(value)}};
+        store_.write(std::move(txn), store::Urgency::Lazy, [](const store::WriteResult&) {});
+      }
+    }
+    runtime_.after(types_fresh_ ? Duration(kTypesEvery) : Duration(kTypesRetry),
+                   [this] { learn_types(); });
+  });
+}
+
+void Node::share_hints() {
+  runtime_.after(kHintsEvery, [this] { share_hints(); });
+  wire::PeerHint hint;
+  hint.node = settings_.node;
+  hint.leader = election_.leader();
+  hint.token = election_.token();
+  hint.sees_store = !store_.seems_down();
+  if (fleet_) {
+    std::unordered_map<std::string, frontend::Counts> counts;
+    for (const auto& c : fleet_->counts()) {
+      if (hint.counts.size() >= kMostCounts) break;
+      hint.counts.push_back({c.job, c.done, c.running});
+      counts[c.job] = {c.done, c.running};
+    }
+    frontend_.set_counts(std::move(counts));
+  }
+  const std::string message = wire::encode_hint(hint);
+  for (const auto& [node, s] : siblings_) runtime_.send_peer(node, message);
+}
+
+void Node::peer_message(const std::string& message) {
+  const auto hint = wire::decode_hint(message);
+  if (!hint) return;
+  const auto it = siblings_.find(hint->node);
+  if (it == siblings_.end()) return;
+  it->second.heard = runtime_.now();
+  it->second.sees_store = hint->sees_store;
+  if (hint->leader == hint->node && hint->token >= hinted_token_) {
+    hinted_leader_ = hint->node;
+    hinted_token_ = hint->token;
+    if (!fleet_) {
+      std::unordered_map<std::string, frontend::Counts> counts;
+      for (const auto& c : hint->counts) counts[c.job] = {c.done, c.running};
+      frontend_.set_counts(std::move(counts));
+    }
+  }
+}
+
+// Keeps an idle node's view of the state service current.
+void Node::probe_store() {
+  runtime_.after(kProbeEvery, [this] { probe_store(); });
+  if (store_.heard_lately(kProbeEvery)) return;
+  store_.get(store::kLeaderKey, [](const store::ReadResult&) {});
+}
+
+HttpResponse Node::ready() const {
+  if (!catalog_.known()) return failure(503, "the machine types are not known yet");
+  // Alone without the state service: the others serve users better. When nobody has it, leaving
+  // and rejoining the load balancer would only add to the outage.
+  if (store_.seems_down()) {
+    for (const auto& [node, s] : siblings_) {
+      if (s.sees_store && s.heard != TimePoint{} && runtime_.now() - s.heard < kHeardWithin) {
+        return failure(503, "the state service answers other nodes only");
+      }
+    }
+  }
+  return {200, "{}"};
+}
+
+void Node::report(const std::string& body, const std::function<void(HttpResponse)>& respond) {
+  if (!election_.leading()) {
+    std::string leader = election_.leader();
+    if (leader.empty()) leader = hinted_leader_;
+    respond({421, wire::encode_not_leader(leader == settings_.node ? "" : leader)});
+    return;
+  }
+  if (!election_.entitled() || !fleet_) {
+    respond(failure(503, "not entitled to give commands at present"));
+    return;
+  }
+  WorkerReport r;
+  try {
+    r = wire::decode_report(body);
+  } catch (const wire::BadMessage& e) {
+    log::error("malformed report: {}", e.what());
+    respond(failure(400, e.what()));
+    return;
+  }
+  if (r.token > election_.token()) {
+    respond(failure(503, "a newer leader has been seen"));
+    return;
+  }
+  respond(fleet_->report(r));
+}
+
+void Node::handle(HttpRequest request, const std::function<void(HttpResponse)>& respond) {
+  const std::string_view target = request.target;
+  const auto path = target.substr(0, target.find('?'));
+  const auto need = [&](std::string_view method) {
+    if (request.method == method) return true;
+    respond(failure(405, "wrong method"));
+    return false;
+  };
+  if (path == wire::kReportPath) {
+    if (need("POST")) report(request.body, respond);
+  } else if (path == wire::kReadyPath) {
+    if (need("GET")) respond(ready());
+  } else if (path == wire::kRunsPath) {
+    if (need("POST")) frontend_.submit(request.body, respond);
+  } else if (path.starts_with(wire::kRunsPath) && path.size() > wire::kRunsPath.size() + 1 &&
+             path[wire::kRunsPath.size()] == '/') {
+    const auto rest = path.substr(wire::kRunsPath.size() + 1);
+    if (rest.ends_with(wire::kAbortSuffix)) {
+      const std::string id(rest.substr(0, rest.size() - wire::kAbortSuffix.size()));
+      if (need("POST")) frontend_.cancel(id, respond);
+    } else if (rest.find('/') == std::string_view::npos) {
+      if (need("GET")) frontend_.status(std::string(rest), respond);
+    } else {
+      respond(failure(404, "no such path"));
+    }
+  } else {
+    respond(failure(404, "no such path"));
+  }
+}
+
+}  // namespace asterstair
--- /dev/null
+++ b/src/node/node.hpp
@@ -0,0 +1,60 @@
+#pragma once
+// One controller node: everything but sockets.
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "autoscale/autoscale.hpp"
+#include "base/runtime.hpp"
+#include "base/settings.hpp"
+#include "cloud/catalog.hpp"
+#include "cloud/cloud.hpp"
+#include "fleet/fleet.hpp"
+#include "frontend/frontend.hpp"
+#include "leader/election.hpp"
+#include "store/store.hpp"
+#include "wire/peer.hpp"
+
+namespace asterstair {
+
+class Node {
+ public:
+  Node(Runtime& runtime, Settings settings);
+  void start();
+  void handle(HttpRequest request, const std::function<void(HttpResponse)>& respond);
+  void peer_message(const std::string& message);
+
+  bool leading() const { return election_.leading(); }
+
+ private:
+  struct Sibling {
+    TimePoint heard{};
+    bool sees_store = false;
+  };
+
+  void elected();
+  void lost();
+  void share_hints();
+  void learn_types();
+  void probe_store();
+  HttpResponse ready() const;
+  void report(const std::string& body, const std::function<void(HttpResponse)>& respond);
+
+  Runtime& runtime_;
+  Settings settings_;
+  store::Store store_;
+  cloud::Cloud cloud_;
+  cloud::Catalog catalog_;
+  frontend::Frontend frontend_;
+  leader::Election election_;
+  std::shared_ptr<fleet::Fleet> fleet_;
+  std::shared_ptr<autoscale::Autoscaler> autoscaler_;
+  std::map<std::string, Sibling> siblings_;
+  std::string hinted_leader_;
+  std::uint64_t hinted_token_ = 0;
+  TimePoint started_{};
+  bool types_fresh_ = false;
+};
+
+}  // namespace asterstair
--- /dev/null
+++ b/src/sched/planner.hpp
@@ -0,0 +1,98 @@
+#pragma once
+// Places waiting tasks on machines: a pure function of a snapshot.
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/model.hpp"
+#include "base/runtime.hpp"
+
+namespace asterstair::sched {
+
+struct Use {
+  double cpus = 0, gpus = 0, memory_gb = 0;
+  void add(const JobSpec& job, double tasks = 1) {
+    cpus += job.cpus * tasks;
+    gpus += job.gpus * tasks;
+    memory_gb += job.memory_gb * tasks;
+  }
+};
+
+struct PlanMachine {
+  std::size_t ref = 0;  // the caller's
+  const MachineType* type = nullptr;
+  std::string zone;
+  bool spot = false;
+  Use free;
+  double loss_rate = 0;
+  const std::set<std::string>* images = nullptr;  // cached
+  std::size_t reserved_for = SIZE_MAX;            // job kept room for, see plan()
+};
+
+// A task that could be stopped to make room.
+struct PlanVictim {
+  std::size_t machine = 0;  // index into machines
+  std::size_t ref = 0;      // the caller's
+  const JobSpec* job = nullptr;
+  double lost_work = 0;  // seconds
+};
+
+struct PlanJob {
+  std::size_t ref = 0;  // the caller's
+  const JobSpec* job = nullptr;
+  std::uint32_t waiting = 0;   // tasks that may be placed now
+  std::uint32_t unfinished = 0;
+  std::map<std::string, std::uint32_t> in_zone;  // its tasks that are, or may be, there
+  std::string last_zone;                         // of a gang that ran before
+  Seconds remaining{0};                          // of a task
+  Seconds waited{0};
+  double slack = 0;                              // seconds until it must start
+  const std::set<std::size_t>* avoid = nullptr;  // machine refs it failed on
+};
+
+struct TeamState {
+  Use used;           // may be present anywhere
+  double guaranteed_cpus = 0, guaranteed_gpus = 0;
+  double max_cpus = 0, max_gpus = 0;  // 0: none
+  Use wanted;         // of all its unfinished tasks
+  bool within_guarantee() const {
+    return (guaranteed_cpus > 0 || guaranteed_gpus > 0) && wanted.cpus <= guaranteed_cpus + 1e-6 &&
+           wanted.gpus <= guaranteed_gpus + 1e-6;
+  }
+};
+
+struct Placement {
+  std::size_t job = 0, machine = 0;  // refs
+  std::uint32_t tasks = 0;
+};
+
+struct Snapshot {
+  std::vector<PlanMachine> machines;
+  std::vector<PlanJob> jobs;
+  std::map<std::string, TeamState> teams;
+};
+
+struct Plan {
+  std::vector<Placement> placements;
+  // Jobs that found no room, in order, with the number of tasks left.
+  std::vector<std::pair<std::size_t, std::uint32_t>> unplaced;  // index into jobs
+};
+
+// Whether the job precedes the other: guarantees, priority, then slack. Jobs that are already
+// too late come after those that can still be in time.
+bool precedes(const PlanJob& a, bool a_guaranteed, const PlanJob& b, bool b_guaranteed);
+
+bool allowed_on(const JobSpec& job, const PlanMachine& machine);
+bool fits(const JobSpec& job, const Use& free);
+
+// Changes the snapshot's free room and use as it places.
+Plan plan(Snapshot& snapshot, Rng& rng);
+
+// What to stop for the waiting work that found no room, as PROTOCOL's "Preemption" allows.
+std::vector<std::size_t> preempt(Snapshot& snapshot, const Plan& plan,
+                                 const std::vector<PlanVictim>& victims);
+
+}  // namespace asterstair::sched
--- /dev/null
+++ b/src/sched/score.cpp
@@ -0,0 +1,34 @@
+#include "sched/score.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace asterstair::sched {
+
+Seconds checkpoint_interval(Seconds checkpoint_time, double loss_rate, Seconds loss_budget) {
+  const double c = std::max(checkpoint_time.count(), 0.0);
+  const double best = std::sqrt(2.0 * c / std::max(loss_rate, 1e-12));
+  const double least = c / kCheckpointShare;
+  const double most = std::max(2.0 * loss_budget.count(), least);
+  return Seconds(std::clamp(best, least, most));
+}
+
+double takeback_chance(double loss_rate, Seconds remaining) {
+  return 1.0 - std::exp(-loss_rate * std::max(remaining.count(), 0.0));
+}
+
+Seconds start_delay(double image_gb, bool cached) {
+  return Seconds(cached ? 0.0 : image_gb / kFetchGbPerSecond);
+}
+
+double placement_score(Seconds delay, double loss_rate, Seconds remaining,
+                       Seconds mean_delay_elsewhere, double weight) {
+  return delay.count() +
+         weight * takeback_chance(loss_rate, remaining) * mean_delay_elsewhere.count();
+}
+
+bool final_save_fits(Seconds checkpoint_time, Seconds restart_time, Seconds notice) {
+  return checkpoint_time + restart_time <= notice;
+}
+
+}  // namespace asterstair::sched
--- /dev/null
+++ b/src/wire/peer.hpp
@@ -0,0 +1,28 @@
+#pragma once
+// Hints between the nodes, in msgpack. Nothing that a rule rests on travels here.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace asterstair::wire {
+
+struct PeerCounts {
+  std::string job;
+  std::uint32_t done = 0, running = 0;
+};
+
+struct PeerHint {
+  std::string node;
+  std::string leader;  // empty: unknown
+  std::uint64_t token = 0;
+  bool sees_store = false;
+  std::vector<PeerCounts> counts;  // only the leader's
+};
+
+std::string encode_hint(const PeerHint& hint);
+// None: malformed, or of a version this program does not know.
+std::optional<PeerHint> decode_hint(const std::string& message);
+
+}  // namespace asterstair::wire
