Order: next reachable aim for slack, less work first

Cause: an array past its 60 s aim was treated as late although its 120 s aim could be met, and large arrays in front delayed many small ones.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -795,16 +795,27 @@
   return std::max(Seconds(1), job.spec->estimate - Seconds(saved));
 }
 
+// Until the next aim that can still be met; negative once none can.
 double Fleet::slack_of(const Job& job, Seconds remaining) const {
   const double age = age_of(job).count();
-  double slack = 3600 - age;  // no aim: by age
-  if (job.spec->deadline) slack = job.spec->deadline->count() - age - remaining.count();
+  constexpr double kNoAim = 3600;  // then by age
+  bool any = false;
+  double best = kNoAim - age, late = -kNoAim;
+  const auto aim = [&](double slack) {
+    if (slack >= 0) {
+      best = any ? std::min(best, slack) : slack;
+      any = true;
+    } else {
+      late = std::max(late, slack);
+    }
+  };
+  if (job.spec->deadline) aim(job.spec->deadline->count() - age - remaining.count());
   for (const auto& o : settings_.objectives) {
     if (o.job_class != job.spec->job_class) continue;
-    if (o.kind == "finished") slack = std::min(slack, o.within.count() - age - remaining.count());
-    if (o.kind == "wait" && !job.first_started) slack = std::min(slack, o.within.count() - age);
+    if (o.kind == "finished") aim(o.within.count() - age - remaining.count());
+    if (o.kind == "wait" && !job.first_started) aim(o.within.count() - age);
   }
-  return slack;
+  return any || late == -kNoAim ? best : late;
 }
 
 std::map<std::pair<std::string, bool>, std::size_t> Fleet::group_sizes() const {
@@ -870,6 +881,7 @@
     p.remaining = remaining_of(job);
     p.waited = age_of(job);
     p.slack = slack_of(job, p.remaining);
+    p.work = p.remaining * static_cast<double>(p.unfinished);
     job_ids.push_back(id);
     s.jobs.push_back(std::move(p));
   }
--- a/src/sched/planner.cpp
+++ b/src/sched/planner.cpp
@@ -15,6 +15,14 @@
 // Room is kept for a job whose tasks found none, once it has waited this long.
 constexpr Seconds kReserveAfter{5};
 constexpr std::size_t kMostReserved = 4;
+// Seconds of slack that a core-second of work left weighs.
+constexpr double kWorkWeight = 0.01;
+constexpr double kCpusPerGpu = 10;
+
+// Work on the resource that is short for the job: accelerators if it needs them.
+double load(const PlanJob& j) {
+  return j.work.count() * (j.job->gpus > 0 ? j.job->gpus * kCpusPerGpu : j.job->cpus);
+}
 
 std::uint32_t room(const JobSpec& job, const Use& free) {
   double n = 1e9;
@@ -209,7 +217,8 @@
   if (a.job->priority != b.job->priority) return a.job->priority > b.job->priority;
   const bool a_late = a.slack < 0, b_late = b.slack < 0;
   if (a_late != b_late) return b_late;
-  if (a.slack != b.slack) return a.slack < b.slack;
+  const double a_key = a.slack + kWorkWeight * load(a), b_key = b.slack + kWorkWeight * load(b);
+  if (a_key != b_key) return a_key < b_key;
   return a.job->id < b.job->id;
 }
 
--- a/src/sched/planner.hpp
+++ b/src/sched/planner.hpp
@@ -48,6 +48,7 @@
   std::map<std::string, std::uint32_t> in_zone;  // its tasks that are, or may be, there
   std::string last_zone;                         // of a gang that ran before
   Seconds remaining{0};                          // of a task
+  Seconds work{0};                               // of all its unfinished tasks
   Seconds waited{0};
   double slack = 0;                              // seconds until it must start
   const std::set<std::size_t>* avoid = nullptr;  // machine refs it failed on
@@ -81,8 +82,9 @@
   std::vector<std::pair<std::size_t, std::uint32_t>> unplaced;  // index into jobs
 };
 
-// Whether the job precedes the other: guarantees, priority, then slack. Jobs that are already
-// too late come after those that can still be in time.
+// Whether the job precedes the other: guarantees, priority, then those that can still be in time,
+// then the one with less work left on its tasks' dominant resource: users count jobs, and small
+// ones in front delay the large ones least.
 bool precedes(const PlanJob& a, bool a_guaranteed, const PlanJob& b, bool b_guaranteed);
 
 bool allowed_on(const JobSpec& job, const PlanMachine& machine);
