--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -15,7 +15,7 @@
 constexpr int kAskTries = 30;
 constexpr double kBootPatience = 4;  // times the nominal boot time
 constexpr auto kBootExtra = 20s;
-constexpr double kIdleBoots = 0.5;     // an idle machine is kept so many boot times
+constexpr double kIdleBoots = 0.5;  // an idle machine is kept so many boot times
 constexpr auto kSilentPatience = 20s;  // beyond the lease, before a silent machine is returned
 
 }  // namespace
--- a/src/sched/planner.cpp
+++ b/src/sched/planner.cpp
@@ -86,8 +86,7 @@
   for (std::size_t i = 0; i < fitting.size(); ++i) {
     const auto& m = s.machines[fitting[i]];
     const bool cached = m.images != nullptr && m.images->count(j.job->image) != 0;
-    const double rate = m.type->fetch_gb_per_s > 0 ? m.type->fetch_gb_per_s : kFetchGbPerSecond;
-    delay[i] = start_delay(j.job->image_gb, cached, rate).count();
+    delay[i] = start_delay(j.job->image_gb, cached).count();
     total += delay[i];
   }
   std::vector<Candidate> out;
@@ -97,14 +96,12 @@
         fitting.size() > 1 ? (total - delay[i]) / static_cast<double>(fitting.size() - 1) : 0.0;
     const double score =
         placement_score(Seconds(delay[i]), m.loss_rate, j.remaining, Seconds(elsewhere));
-    // Among equals: no accelerators taken up by tasks that need none, spot machines for jobs that
-    // may use them, no machine kept busy that could be returned, then the fullest, so that large
-    // tasks find room.
+    // Among equals: no accelerators taken up by tasks that need none, spot machines kept for
+    // jobs that may use them, then the fullest machine, so that large tasks find room.
     double waste = m.free.cpus;
-    if (j.job->gpus <= 0 && m.type->gpus > 0) waste += 1e6;
-    if (j.job->spot && !m.spot) waste += 1e5;
-    if (m.empty()) waste += 1e3 + m.price();
-    out.push_back({fitting[i], std::floor(score / kScoreTie.count()), waste});
+    if (j.job->gpus <= 0 && m.type->gpus > 0) waste += 1e4;
+    if (j.job->spot && !m.spot) waste += 1e3;
+    out.push_back({fitting[i], score, waste});
   }
   std::sort(out.begin(), out.end(), [](const Candidate& a, const Candidate& b) {
     if (a.score != b.score) return a.score < b.score;
--- a/src/sched/score.hpp
+++ b/src/sched/score.hpp
@@ -9,9 +9,7 @@
 inline constexpr double kCheckpointShare = 0.2;  // of the time, at most
 inline constexpr double kReLossWeight = 1.0;
 inline constexpr std::size_t kSameZoneMinimum = 3;  // of fitting machines
-inline constexpr double kFetchGbPerSecond = 0.1;    // where the type states none
-// Scores this close are equal: estimates are no better.
-inline constexpr Seconds kScoreTie{4};
+inline constexpr double kFetchGbPerSecond = 0.1;
 
 // sqrt(2 * checkpoint time / loss rate), clipped.
 Seconds checkpoint_interval(Seconds checkpoint_time, double loss_rate, Seconds loss_budget);
@@ -20,7 +18,7 @@
 double takeback_chance(double loss_rate, Seconds remaining);
 
 // Image size over the fetch rate; zero when cached.
-Seconds start_delay(double image_gb, bool cached, double gb_per_second = kFetchGbPerSecond);
+Seconds start_delay(double image_gb, bool cached);
 
 // Start delay plus what losing the machine again would cost.
 double placement_score(Seconds delay, double loss_rate, Seconds remaining,
