--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -15,41 +15,42 @@
 constexpr int kAskTries = 30;
 constexpr double kBootPatience = 4;  // times the nominal boot time
 constexpr auto kBootExtra = 20s;
-constexpr double kIdleBoots = 0.5;     // an idle machine is kept so many boot times
-constexpr double kSlackShare = 0.6;    // of a job's slack that may be spent queueing
+constexpr double kIdleBoots = 0.5;  // an idle machine is kept so many boot times
 constexpr auto kSilentPatience = 20s;  // beyond the lease, before a silent machine is returned
 
 }  // namespace
 
 std::vector<Want> wanted(const std::vector<fleet::Demand>& demand, const cloud::Catalog& catalog,
-                         std::vector<Room> rooms, const std::function<bool(const Pool&)>& refused) {
+                         const std::map<std::string, Coming>& coming,
+                         const std::function<bool(const Pool&)>& refused) {
+  struct Empty {
+    const MachineType* type;
+    std::string zone;
+    bool spot;
+    sched::Use free;
+  };
+  std::vector<Empty> machines;
+  for (const auto& [id, c] : coming) {
+    if (const auto* t = catalog.find(c.pool.type)) {
+      machines.push_back({t, c.pool.zone, c.pool.spot, {t->cpus, t->gpus, t->memory_gb}});
+    }
+  }
   std::vector<Want> out;
   for (const auto& d : demand) {
     const JobSpec& job = *d.job;
-    const double run = std::max(d.remaining.count(), 1.0);
-    // Tasks share a machine one after the other, as long as the last one starts within the part of
-    // the job's slack that may be spent on queueing.
-    const auto turns = [&](double ready) {
-      return std::floor((kSlackShare * d.slack - ready) / run) + 1;
-    };
     double left = d.tasks;
-    const auto use = [&](Room& room, double at_least) {
-      const double most = std::max(turns(room.ready.count()), at_least) * room.type->fits(job);
-      if (most < 1) return;
-      const double n = std::min(left, most * room.share);
-      room.share -= n / most;
-      left -= n;
-    };
-    for (auto& room : rooms) {
-      if (left < 0.5) break;
-      if (!job.allows_type(room.type->name) || (room.spot && !job.spot) ||
-          (job.zone && *job.zone != room.zone)) {
+    for (auto& m : machines) {
+      if (left < 1) break;
+      if (!job.allows_type(m.type->name) || (m.spot && !job.spot) ||
+          (job.zone && *job.zone != m.zone)) {
         continue;
       }
-      // A machine that is coming serves even those it comes too late for: nothing comes sooner.
-      use(room, room.coming ? 1 : 0);
+      while (left >= 1 && sched::fits(job, m.free)) {
+        m.free.add(job, -1);
+        left -= 1;
+      }
     }
-    if (left < 0.5) continue;
+    if (left < 1) continue;
     // The type that holds a task most cheaply, of those to be had.
     const MachineType* best = nullptr;
     double best_price = 0;
@@ -59,9 +60,10 @@
       if (job.gpus <= 0 && t.gpus > 0) continue;  // accelerators are for those that need them
       for (const bool spot : {true, false}) {
         if (spot && !job.spot) continue;
-        const bool any = std::any_of(t.zones.begin(), t.zones.end(), [&](const std::string& z) {
-          return (!job.zone || *job.zone == z) && !refused({name, z, spot});
-        });
+        bool any = false;
+        for (const auto& z : t.zones) {
+          any = any || ((!job.zone || *job.zone == z) && !refused({name, z, spot}));
+        }
         if (!any) continue;
         // All the type's room counts: other tasks will share the machine.
         double per_machine = t.cpus / std::max(job.cpus, 1e-9);
@@ -76,14 +78,25 @@
       }
     }
     if (best == nullptr) continue;
-    Want want{best->name, 0, best_spot, &job};
-    while (left >= 0.5 && want.count < wire::kMostRented) {
-      Room room{best, job.zone.value_or(best->zones.front()), best_spot, best->boot, true};
-      use(room, 1);
-      rooms.push_back(std::move(room));
-      ++want.count;
+    // Short tasks share a machine one after the other while others would still be booting.
+    sched::Use whole{best->cpus, best->gpus, best->memory_gb};
+    double per_machine = 0;
+    while (per_machine < left && sched::fits(job, whole)) {
+      whole.add(job, -1);
+      per_machine += 1;
+    }
+    const double at_once = std::ceil(left / per_machine);
+    const double turns = std::max(1.0, best->boot.count() / std::max(d.remaining.count(), 1.0));
+    const auto count = static_cast<std::size_t>(std::max(1.0, std::ceil(at_once / turns)));
+    out.push_back({best->name, count, best_spot, &job});
+    for (std::size_t i = 0; i < count; ++i) {
+      machines.push_back({best,
+                          job.zone.value_or(best->zones.front()),
+                          best_spot,
+                          {best->cpus, best->gpus, best->memory_gb}});
+      auto& m = machines.back();
+      for (double n = 0; n < per_machine && sched::fits(job, m.free); n += 1) m.free.add(job, -1);
     }
-    out.push_back(std::move(want));
   }
   return out;
 }
@@ -176,29 +189,8 @@
       coming[name + "/" + std::to_string(i)] = {{r.type, r.zone, r.spot}, now, now};
     }
   }
-  std::vector<Room> rooms;
-  for (const auto& [id, m] : fleet_->machines().all()) {
-    const auto* type = catalog_.find(m.type);
-    if (type == nullptr || !fleet_->usable(m)) continue;
-    // Its room comes free bit by bit as what runs there ends.
-    double total = 0, n = 0;
-    for (const auto& [key, o] : m.occupants) {
-      if (!o.holds_room() || !o.job) continue;
-      const double ran = o.running_since == TimePoint{} ? 0 : seconds(now - o.running_since);
-      const double share = o.job->gpus > 0 ? o.job->gpus : o.job->cpus;
-      total += share * std::max(o.job->estimate.count() - ran, 5.0);
-      n += share;
-    }
-    rooms.push_back({type, m.zone, m.spot, Seconds(n > 0 ? total / n / 2 : 0), false});
-  }
-  for (const auto& [id, c] : coming) {
-    const auto* type = catalog_.find(c.pool.type);
-    if (type == nullptr) continue;
-    const Seconds left = type->boot - Seconds(now - c.since);
-    rooms.push_back({type, c.pool.zone, c.pool.spot, std::max(left, Seconds(5)), true});
-  }
-  const auto wants = wanted(fleet_->demand(), catalog_, std::move(rooms),
-                            [this](const Pool& p) { return refused(p); });
+  const auto wants =
+      wanted(fleet_->demand(), catalog_, coming, [this](const Pool& p) { return refused(p); });
   for (const auto& w : wants) {
     if (!cloud_.may_call()) return;
     const auto* type = catalog_.find(w.type);
--- a/src/autoscale/autoscale.hpp
+++ b/src/autoscale/autoscale.hpp
@@ -27,17 +27,7 @@
   TimePoint seen{};   // by this leader
 };
 
-// A machine that waiting work may use: up, or coming.
-struct Room {
-  const MachineType* type = nullptr;
-  std::string zone;
-  bool spot = false;
-  Seconds ready{0};  // until it can take new tasks
-  bool coming = false;
-  double share = 1;  // of its time not yet spoken for
-};
-
-// How many machines of which type the waiting work calls for, beyond those at hand and coming.
+// How many machines of which type the waiting work calls for, beyond those that are coming.
 struct Want {
   std::string type;
   std::size_t count = 0;
@@ -45,7 +35,8 @@
   const JobSpec* job = nullptr;
 };
 std::vector<Want> wanted(const std::vector<fleet::Demand>& demand, const cloud::Catalog& catalog,
-                         std::vector<Room> rooms, const std::function<bool(const Pool&)>& refused);
+                         const std::map<std::string, Coming>& coming,
+                         const std::function<bool(const Pool&)>& refused);
 
 class Autoscaler : public std::enable_shared_from_this<Autoscaler> {
  public:
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -43,8 +43,6 @@
 
   bool loaded() const { return loaded_; }
   bool settled() const { return settled_; }
-  // Whether the machine may be given new work.
-  bool usable(const Machine& machine) const;
   const std::vector<Demand>& demand() const { return demand_; }
   const Machines& machines() const { return machines_; }
   const Jobs& jobs() const { return jobs_; }
@@ -93,6 +91,7 @@
   void preempt(sched::Snapshot& snapshot, const sched::Plan& plan,
                const std::vector<std::string>& machine_ids);
   std::vector<Command> commands_for(Machine& machine, std::uint64_t seq);
+  bool usable(const Machine& machine) const;
   double slack_of(const Job& job, Seconds remaining) const;
   Seconds remaining_of(const Job& job) const;
   Seconds age_of(const Job& job) const;
