Empty costly machines whose few tasks can save and fit on others in use

Cause: after a burst a few long tasks keep many machines up, the dearest among them. Stopping work on a machine that is being returned is allowed (PROTOCOL, Preemption).

--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -16,6 +16,7 @@
 constexpr double kBootPatience = 4;  // times the nominal boot time
 constexpr auto kBootExtra = 20s;
 constexpr double kIdleBoots = 0.5;  // an idle machine is kept so many boot times
+constexpr auto kConsolidateEvery = 3s;
 constexpr auto kSilentPatience = 20s;  // beyond the lease, before a silent machine is returned
 
 }  // namespace
@@ -124,6 +125,10 @@
     list("", std::make_shared<std::vector<ListedMachine>>());
   }
   give_back();
+  if (now - last_consolidation_ >= kConsolidateEvery) {
+    last_consolidation_ = now;
+    fleet_->consolidate();
+  }
   // What an earlier leader rented shows in the list first.
   if (first_list_ != TimePoint{} && fleet_->settled()) rent();
 }
@@ -270,7 +275,7 @@
     }
     if (!m.reported || m.silent) continue;
     if (m.holds_tasks()) {
-      if (m.draining && !m.faulty) fleet_->undrain(id);
+      // Work came before it was returned; what is being emptied stays closed.
       continue;
     }
     const auto since = idle_since_.find(id);
--- a/src/autoscale/autoscale.hpp
+++ b/src/autoscale/autoscale.hpp
@@ -63,7 +63,7 @@
   std::shared_ptr<fleet::Fleet> fleet_;
   bool stopped_ = false, listing_ = false, returning_ = false;
   std::uint64_t requests_ = 0;
-  TimePoint last_list_{}, first_list_{};
+  TimePoint last_list_{}, first_list_{}, last_consolidation_{};
   std::map<std::string, Coming> coming_;              // rented, not yet reporting
   std::map<std::string, wire::RentalRequest> asked_;  // unanswered
   std::map<Pool, TimePoint> refused_until_;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -21,6 +21,8 @@
 constexpr std::uint32_t kFaultyFailures = 6;  // or so many in a row
 constexpr std::size_t kBadJobMachines = 3;    // failures on so many machines: the job is at fault
 constexpr auto kBackoffFirst = 4s, kBackoffMost = 60s;
+constexpr Seconds kEndsSoon{15};
+constexpr auto kMoveEvery = 30s;
 constexpr Seconds kRestartTime{1};  // of a task that finds its image
 
 const char* cause_word(ExitCause c) {
@@ -1005,8 +1007,64 @@
   if (Machine* m = machines_.find(id)) m->draining = true;
 }
 
-void Fleet::undrain(const std::string& id) {
-  if (Machine* m = machines_.find(id)) m->draining = false;
+// Whether all that runs there is worth moving: it can save, and has more left than a move costs;
+// or ends soon by itself.
+bool Fleet::can_move(const Machine& m) const {
+  const auto now = runtime_.now();
+  bool any = false;
+  for (const auto& [key, o] : m.occupants) {
+    if (!o.holds_room()) continue;
+    if (o.phase != Occupant::Phase::Present || o.state != TaskState::Running || o.stop || !o.job) {
+      return false;
+    }
+    const Seconds left = o.job->estimate - Seconds(now - o.running_since);
+    const bool saves = o.job->checkpoint.count() > 0 && o.job->tasks == 1;
+    if (saves) any = true;
+    if (!saves && left > kEndsSoon) return false;
+    // A task moves once in a while at most.
+    if (now - o.running_since < kMoveEvery) return false;
+  }
+  return any;
+}
+
+void Fleet::consolidate() {
+  if (!settled_ || !election_.entitled() || !demand_.empty()) return;
+  std::vector<std::string> machine_ids, job_ids;
+  const auto s = snapshot(machine_ids, job_ids);
+  if (!s.jobs.empty()) return;
+  std::vector<const sched::PlanMachine*> by_price;
+  for (const auto& m : s.machines) by_price.push_back(&m);
+  std::sort(by_price.begin(), by_price.end(), [](const auto* a, const auto* b) {
+    return std::pair(a->price(), a->ref) > std::pair(b->price(), b->ref);
+  });
+  for (const auto* from : by_price) {
+    Machine& m = *machines_.find(machine_ids[from->ref]);
+    if (from->empty() || !can_move(m)) continue;
+    auto others = s.machines;
+    bool fits = true;
+    for (const auto& [key, o] : m.occupants) {
+      if (!o.holds_room() || o.job->checkpoint.count() <= 0) continue;
+      bool placed = false;
+      for (auto& to : others) {
+        if (to.ref == from->ref || to.empty() || to.price() > from->price()) continue;
+        if (!sched::allowed_on(*o.job, to) || !sched::fits(*o.job, to.free)) continue;
+        if (o.job->one_zone || o.job->spread) continue;
+        to.free.add(*o.job, -1);
+        placed = true;
+        break;
+      }
+      fits = fits && placed;
+    }
+    if (!fits) continue;
+    log::info("machine {} is emptied: others have room for its tasks", m.id);
+    m.draining = true;
+    for (auto& [key, o] : m.occupants) {
+      if (o.holds_room() && o.job->checkpoint.count() > 0) {
+        stop_occupant(o, o.job->save + Seconds(settings_.gang_peer));
+      }
+    }
+    return;
+  }
 }
 
 void Fleet::machine_gone(const std::string& id) {
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -52,7 +52,8 @@
 
   // Wanted by the autoscaler: no new work for the machine; what is on it ends or is stopped.
   void drain(const std::string& machine);
-  void undrain(const std::string& machine);
+  // Empties one costly machine whose tasks can save and fit on others in use, if there is one.
+  void consolidate();
   // The cloud has confirmed that the machine and all on it are gone.
   void machine_gone(const std::string& machine);
 
@@ -92,6 +93,7 @@
                const std::vector<std::string>& machine_ids);
   std::vector<Command> commands_for(Machine& machine, std::uint64_t seq);
   bool usable(const Machine& machine) const;
+  bool can_move(const Machine& machine) const;
   double slack_of(const Job& job, Seconds remaining) const;
   Seconds remaining_of(const Job& job) const;
   Seconds age_of(const Job& job) const;
--- a/src/sched/planner.hpp
+++ b/src/sched/planner.hpp
@@ -30,6 +30,9 @@
   double loss_rate = 0;
   const std::set<std::string>* images = nullptr;  // cached
   std::size_t reserved_for = SIZE_MAX;            // job kept room for, see plan()
+
+  bool empty() const { return free.cpus >= type->cpus && free.gpus >= type->gpus; }
+  double price() const { return spot ? type->spot_price : type->price; }
 };
 
 // A task that could be stopped to make room.
