--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -1018,7 +1018,7 @@
       return false;
     }
     const Seconds left = o.job->estimate - Seconds(now - o.running_since);
-    const bool saves = o.job->checkpoint.count() > 0 && o.job->tasks == 1;
+    const bool saves = o.job->checkpoint.count() > 0 && (!o.job->gang() || o.job->tasks == 1);
     if (saves) any = true;
     if (!saves && left > kEndsSoon) return false;
     // A task moves once in a while at most.
