--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -16,8 +16,6 @@
 constexpr double kBootPatience = 4;  // times the nominal boot time
 constexpr auto kBootExtra = 20s;
 constexpr double kIdleBoots = 0.5;  // an idle machine is kept so many boot times
-constexpr double kIdleBootsWanted = 2;
-constexpr auto kShortLately = 45s;
 constexpr auto kConsolidateEvery = 3s;
 constexpr auto kSilentPatience = 20s;  // beyond the lease, before a silent machine is returned
 
@@ -126,12 +124,6 @@
     last_list_ = now;
     list("", std::make_shared<std::vector<ListedMachine>>());
   }
-  for (const auto& d : fleet_->demand()) {
-    for (const auto& [name, type] : catalog_.types()) {
-      const bool wasted = d.job->gpus <= 0 && type.gpus > 0;
-      if (!wasted && d.job->allows_type(name) && type.fits(*d.job) > 0) short_at_[name] = now;
-    }
-  }
   give_back();
   if (now - last_consolidation_ >= kConsolidateEvery) {
     last_consolidation_ = now;
@@ -289,11 +281,7 @@
     const auto since = idle_since_.find(id);
     idle[id] = since == idle_since_.end() ? now : since->second;
     const auto* type = catalog_.find(m.type);
-    // Where work lately found no room, more will come: a boot then costs more than idling.
-    const auto shortage = short_at_.find(m.type);
-    const bool wanted = shortage != short_at_.end() && now - shortage->second < kShortLately;
-    const Duration keep = to_duration((type != nullptr ? type->boot : Seconds(60)) *
-                                      (wanted ? kIdleBootsWanted : kIdleBoots));
+    const Duration keep = to_duration((type != nullptr ? type->boot : Seconds(60)) * kIdleBoots);
     // Drained first; returned once a later turn still finds it without tasks. Exited tasks wait
     // for their results to be durable.
     if (m.faulty || (fleet_->settled() && now - idle[id] > keep)) {
--- a/src/autoscale/autoscale.hpp
+++ b/src/autoscale/autoscale.hpp
@@ -70,7 +70,6 @@
   std::map<std::string, TimePoint> idle_since_;
   std::map<std::string, TimePoint> gone_;  // returned: lists may show them a while longer
   std::set<std::string> to_return_;
-  std::map<std::string, TimePoint> short_at_;  // types: when work last found no room on them
 };
 
 }  // namespace asterstair::autoscale
