--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -15,7 +15,8 @@
 constexpr int kAskTries = 30;
 constexpr double kBootPatience = 4;  // times the nominal boot time
 constexpr auto kBootExtra = 20s;
-constexpr double kIdleBoots = 0.5;  // an idle machine is kept so many boot times
+constexpr double kIdleBoots = 0.5;   // an idle machine is kept so many boot times
+constexpr double kTightBoots = 2.5;  // boots may take that much longer than stated
 constexpr auto kConsolidateEvery = 3s;
 constexpr auto kSilentPatience = 20s;  // beyond the lease, before a silent machine is returned
 
@@ -127,7 +128,7 @@
   give_back();
   if (now - last_consolidation_ >= kConsolidateEvery) {
     last_consolidation_ = now;
-    fleet_->consolidate();
+    fleet_->consolidate([this](const fleet::Machine& m) { return may_spare(m); });
   }
   // What an earlier leader rented shows in the list first.
   if (first_list_ != TimePoint{} && fleet_->settled()) rent();
@@ -253,6 +254,32 @@
               });
 }
 
+// Whether enough room stays free without the machine for what may arrive before another could be
+// up: work that cannot wait for a boot.
+bool Autoscaler::may_spare(const fleet::Machine& machine) const {
+  const auto* type = catalog_.find(machine.type);
+  if (type == nullptr) return true;
+  const bool gpu = type->gpus > 0;
+  double expected = 0;
+  for (const auto& a : fleet_->arrivals()) {
+    if ((a.job->gpus > 0) != gpu || !a.job->allows_type(machine.type)) continue;
+    if (a.slack >= kTightBoots * type->boot.count()) continue;
+    expected += a.job->tasks * (gpu ? a.job->gpus : a.job->cpus);
+  }
+  expected *= type->boot.count() / seconds(fleet::kArrivalWindow);
+  double room = 0;
+  for (const auto& [id, m] : fleet_->machines().all()) {
+    const auto* t = catalog_.find(m.type);
+    if (&m == &machine || t == nullptr || (t->gpus > 0) != gpu || !fleet_->usable(m)) continue;
+    double free = gpu ? t->gpus : t->cpus;
+    for (const auto& [key, o] : m.occupants) {
+      if (o.holds_room() && o.job) free -= gpu ? o.job->gpus : o.job->cpus;
+    }
+    room += free;
+  }
+  return room >= expected;
+}
+
 void Autoscaler::give_back() {
   const auto now = runtime_.now();
   const auto& all = fleet_->machines().all();
@@ -284,7 +311,7 @@
     const Duration keep = to_duration((type != nullptr ? type->boot : Seconds(60)) * kIdleBoots);
     // Drained first; returned once a later turn still finds it without tasks. Exited tasks wait
     // for their results to be durable.
-    if (m.faulty || (fleet_->settled() && now - idle[id] > keep)) {
+    if (m.faulty || (fleet_->settled() && now - idle[id] > keep && (m.draining || may_spare(m)))) {
       if (m.draining && m.occupants.empty()) {
         to_return_.insert(id);
       } else {
--- a/src/autoscale/autoscale.hpp
+++ b/src/autoscale/autoscale.hpp
@@ -54,6 +54,7 @@
   void send(wire::RentalRequest request, int tries);
   void give_back();
   bool refused(const Pool& pool) const;
+  bool may_spare(const fleet::Machine& machine) const;
 
   Runtime& runtime_;
   cloud::Cloud& cloud_;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -216,6 +216,8 @@
       log::debug("job {} of {}: {} tasks, age {:.1f} s", job.spec->id, job.spec->job_class,
                  job.spec->tasks, age_of(job).count());
       plan_wanted_ = true;
+      // Of jobs found when a term begins the arrival is not known; they count as new.
+      arrivals_.push_back({runtime_.now(), job.spec, slack_of(job, remaining_of(job))});
     }
   } catch (const wire::BadMessage& e) {
     log::error("live record {} is malformed: {}", item.key, e.what());
@@ -477,6 +479,9 @@
   });
   if (!loaded_) return;
   expire_leases();
+  while (!arrivals_.empty() && runtime_.now() - arrivals_.front().at > kArrivalWindow) {
+    arrivals_.pop_front();
+  }
   check_settled();
   check_gangs();
   check_notices();
@@ -1027,7 +1032,7 @@
   return any;
 }
 
-void Fleet::consolidate() {
+void Fleet::consolidate(const std::function<bool(const Machine&)>& spare) {
   if (!settled_ || !election_.entitled() || !demand_.empty()) return;
   std::vector<std::string> machine_ids, job_ids;
   const auto s = snapshot(machine_ids, job_ids);
@@ -1039,7 +1044,7 @@
   });
   for (const auto* from : by_price) {
     Machine& m = *machines_.find(machine_ids[from->ref]);
-    if (from->empty() || !can_move(m)) continue;
+    if (from->empty() || !can_move(m) || !spare(m)) continue;
     auto others = s.machines;
     bool fits = true;
     for (const auto& [key, o] : m.occupants) {
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -3,6 +3,7 @@
 // the loops that work out the difference. A Fleet lives from one election to its loss; its
 // successor starts from the state service and the workers' reports.
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -27,6 +28,14 @@
   double slack = 0;
 };
 
+inline constexpr Duration kArrivalWindow = 90s;
+
+struct Arrival {
+  TimePoint at{};
+  JobSpecPtr job;
+  double slack = 0;  // on arrival
+};
+
 struct JobCounts {
   std::string job;
   std::uint32_t done = 0, running = 0;
@@ -43,7 +52,10 @@
 
   bool loaded() const { return loaded_; }
   bool settled() const { return settled_; }
+  // Whether the machine may be given new work.
+  bool usable(const Machine& machine) const;
   const std::vector<Demand>& demand() const { return demand_; }
+  const std::deque<Arrival>& arrivals() const { return arrivals_; }
   const Machines& machines() const { return machines_; }
   const Jobs& jobs() const { return jobs_; }
   const sched::LossRates& losses() const { return losses_; }
@@ -52,8 +64,9 @@
 
   // Wanted by the autoscaler: no new work for the machine; what is on it ends or is stopped.
   void drain(const std::string& machine);
-  // Empties one costly machine whose tasks can save and fit on others in use, if there is one.
-  void consolidate();
+  // Empties one costly machine whose tasks can save and fit on others in use, if there is one
+  // that may be spared.
+  void consolidate(const std::function<bool(const Machine&)>& spare);
   // The cloud has confirmed that the machine and all on it are gone.
   void machine_gone(const std::string& machine);
 
@@ -92,7 +105,6 @@
   void preempt(sched::Snapshot& snapshot, const sched::Plan& plan,
                const std::vector<std::string>& machine_ids);
   std::vector<Command> commands_for(Machine& machine, std::uint64_t seq);
-  bool usable(const Machine& machine) const;
   bool can_move(const Machine& machine) const;
   double slack_of(const Job& job, Seconds remaining) const;
   Seconds remaining_of(const Job& job) const;
@@ -121,6 +133,7 @@
   bool roster_writing_ = false;
   sched::LossRates losses_;
   std::vector<Demand> demand_;
+  std::deque<Arrival> arrivals_;  // within kArrivalWindow
 };
 
 }  // namespace asterstair::fleet
