--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -18,6 +18,7 @@
 constexpr double kIdleBoots = 0.5;   // an idle machine is kept so many boot times
 constexpr double kTightBoots = 2.5;  // boots may take that much longer than stated
 constexpr auto kConsolidateEvery = 3s;
+constexpr auto kLull = 20s;
 constexpr auto kSilentPatience = 20s;  // beyond the lease, before a silent machine is returned
 
 }  // namespace
@@ -128,7 +129,13 @@
   give_back();
   if (now - last_consolidation_ >= kConsolidateEvery) {
     last_consolidation_ = now;
-    fleet_->consolidate([this](const fleet::Machine& m) { return may_spare(m); });
+    // Only in a lull: while work keeps arriving the room will be wanted again.
+    fleet_->consolidate([this, now](const fleet::Machine& m) {
+      for (const auto& a : fleet_->arrivals()) {
+        if (a.job->allows_type(m.type) && now - a.at < kLull) return false;
+      }
+      return true;
+    });
   }
   // What an earlier leader rented shows in the list first.
   if (first_list_ != TimePoint{} && fleet_->settled()) rent();
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -23,6 +23,7 @@
 constexpr auto kBackoffFirst = 4s, kBackoffMost = 60s;
 constexpr Seconds kEndsSoon{15};
 constexpr auto kMoveEvery = 30s;
+constexpr double kMoveWorth = 4;
 constexpr Seconds kRestartTime{1};  // of a task that finds its image
 
 const char* cause_word(ExitCause c) {
@@ -1026,8 +1027,13 @@
     const bool saves = o.job->checkpoint.count() > 0 && (!o.job->gang() || o.job->tasks == 1);
     if (saves) any = true;
     if (!saves && left > kEndsSoon) return false;
-    // A task moves once in a while at most.
+    // A task moves once in a while at most, and only with much more left than the move costs.
     if (now - o.running_since < kMoveEvery) return false;
+    const auto* type = catalog_.find(m.type);
+    const double rate = type != nullptr && type->fetch_gb_per_s > 0 ? type->fetch_gb_per_s
+                                                                    : sched::kFetchGbPerSecond;
+    const Seconds move = o.job->save + sched::start_delay(o.job->image_gb, false, rate);
+    if (saves && left < move * kMoveWorth) return false;
   }
   return any;
 }
--- a/src/sched/score.cpp
+++ b/src/sched/score.cpp
@@ -17,8 +17,8 @@
   return 1.0 - std::exp(-loss_rate * std::max(remaining.count(), 0.0));
 }
 
-Seconds start_delay(double image_gb, bool cached) {
-  return Seconds(cached ? 0.0 : image_gb / kFetchGbPerSecond);
+Seconds start_delay(double image_gb, bool cached, double gb_per_second) {
+  return Seconds(cached ? 0.0 : image_gb / gb_per_second);
 }
 
 double placement_score(Seconds delay, double loss_rate, Seconds remaining,
--- a/src/sched/score.hpp
+++ b/src/sched/score.hpp
@@ -18,7 +18,7 @@
 double takeback_chance(double loss_rate, Seconds remaining);
 
 // Image size over the fetch rate; zero when cached.
-Seconds start_delay(double image_gb, bool cached);
+Seconds start_delay(double image_gb, bool cached, double gb_per_second = kFetchGbPerSecond);
 
 // Start delay plus what losing the machine again would cost.
 double placement_score(Seconds delay, double loss_rate, Seconds remaining,
