--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -15,7 +15,7 @@
 constexpr int kAskTries = 30;
 constexpr double kBootPatience = 4;  // times the nominal boot time
 constexpr auto kBootExtra = 20s;
-constexpr double kIdleBoots = 1;   // an idle machine is kept so many boot times
+constexpr double kIdleBoots = 1;     // an idle machine is kept so many boot times
 constexpr double kTightBoots = 2.5;  // boots may take that much longer than stated
 constexpr auto kConsolidateEvery = 3s;
 constexpr auto kLull = 20s;
@@ -318,7 +318,7 @@
     const Duration keep = to_duration((type != nullptr ? type->boot : Seconds(60)) * kIdleBoots);
     // Drained first; returned once a later turn still finds it without tasks. Exited tasks wait
     // for their results to be durable.
-    if (m.faulty || (fleet_->settled() && now - idle[id] > keep && (m.draining || may_spare(m)))) {
+    if (m.faulty || m.draining || (fleet_->settled() && now - idle[id] > keep && may_spare(m))) {
       if (m.draining && m.occupants.empty()) {
         to_return_.insert(id);
       } else {
