--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr auto kTick = 1s;
-constexpr auto kListEvery = 5s;
+constexpr auto kListEvery = 5s, kListUnsettled = 2s;
 constexpr auto kRefusedFor = 15s;  // no capacity: asked again after this
 constexpr auto kAskAgain = 2s;     // an unanswered rental, with its name
 constexpr int kAskTries = 30;
@@ -18,6 +18,7 @@
 constexpr double kIdleBoots = 1;     // an idle machine is kept so many boot times
 constexpr double kTightBoots = 2.5;  // boots may take that much longer than stated
 constexpr auto kConsolidateEvery = 3s;
+constexpr auto kTakeOverPatience = 4s;
 constexpr auto kLull = 20s;
 constexpr auto kSilentPatience = 20s;  // beyond the lease, before a silent machine is returned
 
@@ -121,7 +122,8 @@
   });
   if (!election_.entitled() || !fleet_->loaded() || !catalog_.known()) return;
   const auto now = runtime_.now();
-  if (!listing_ && now - last_list_ >= kListEvery && cloud_.may_call()) {
+  const Duration every = fleet_->settled() ? Duration(kListEvery) : Duration(kListUnsettled);
+  if (!listing_ && now - last_list_ >= every && cloud_.may_call()) {
     listing_ = true;
     last_list_ = now;
     list("", std::make_shared<std::vector<ListedMachine>>());
@@ -176,6 +178,13 @@
       coming_[m.id] = {{m.type, m.zone, m.spot}, now - to_duration(m.age), now};
     }
   }
+  // A take-over waits for every machine that may hold tasks. Of those that neither report nor are
+  // listed, a return tells at once that they are gone, instead of their leases running out.
+  if (!fleet_->settled() && now - first_list_ > kTakeOverPatience) {
+    for (const auto& [id, m] : fleet_->machines().all()) {
+      if (!m.reported && !m.silent && names.count(id) == 0) to_return_.insert(id);
+    }
+  }
   // Taken back or given up while it was coming: lists lag, so only after a while.
   for (auto it = coming_.begin(); it != coming_.end();) {
     const bool due = now - it->second.since > settings_.list_lag * 3 + 10s;
