--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -24,7 +24,8 @@
 constexpr Seconds kEndsSoon{15};
 constexpr auto kMoveEvery = 30s;
 constexpr double kMoveWorth = 4;
-constexpr Seconds kRestartTime{1};  // of a task that finds its image
+constexpr double kEndsInTime = 0.7;  // of a notice: estimates are rough
+constexpr Seconds kRestartTime{1};   // of a task that finds its image
 
 const char* cause_word(ExitCause c) {
   switch (c) {
@@ -756,8 +757,15 @@
       if (o.phase != Occupant::Phase::Present || o.stop || !o.job) continue;
       if (!m.goes_at && !m.faulty) continue;  // a drained machine's tasks may end by themselves
       const auto& job = *o.job;
-      if (job.checkpoint.count() <= 0) continue;
-      if (!sched::final_save_fits(job.save, kRestartTime, left)) continue;
+      const bool saves =
+          job.checkpoint.count() > 0 && sched::final_save_fits(job.save, kRestartTime, left);
+      if (!saves) {
+        // What cannot be saved and will not end in time is lost anyway; elsewhere at once is
+        // better than after the machine's lease has run out.
+        const Seconds ran =
+            o.running_since == TimePoint{} ? Seconds(0) : Seconds(now - o.running_since);
+        if (!m.goes_at || job.estimate - ran <= left * kEndsInTime) continue;
+      }
       Job* live = jobs_.find(o.task.job);
       if (live == nullptr) continue;
       // The whole gang is told at once, wherever its tasks are.
@@ -767,7 +775,7 @@
         if (other == nullptr) continue;
         const auto it = other->occupants.find({TaskId{o.task.job, index}, placed.attempt});
         if (it == other->occupants.end() || it->second.stop) continue;
-        const Seconds grace = job.save + Seconds(settings_.gang_peer);
+        const Seconds grace = saves ? job.save + Seconds(settings_.gang_peer) : Seconds(0);
         stop_occupant(it->second, grace);
         if (job.gang() && job.tasks > 1) {
           direct.emplace_back(placed.machine,
