--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -310,20 +310,6 @@
       if (to_return_.insert(id).second) log::info("machine {} has not come up; returned", id);
     }
   }
-  // A spot machine that falls silent while the others report has most likely been taken. Returning
-  // it says so for certain, and its tasks start elsewhere without waiting for its lease.
-  const Duration late = settings_.report_every * 5 / 2 + 1s;
-  std::size_t ordinary = 0, heard = 0;
-  for (const auto& [id, m] : all) {
-    if (m.spot || !m.reported || m.silent) continue;
-    ++ordinary;
-    if (now - m.last_report < late) ++heard;
-  }
-  if (fleet_->settled() && heard > 0 && heard * 5 >= ordinary * 4) {
-    for (const auto& [id, m] : all) {
-      if (m.spot && m.reported && now - m.last_report > late) to_return_.insert(id);
-    }
-  }
   std::map<std::string, TimePoint> idle;
   for (const auto& [id, m] : all) {
     if (m.silent && now - m.last_answered > settings_.lease + kSilentPatience) {
