--- a/src/sched/planner.cpp
+++ b/src/sched/planner.cpp
@@ -13,8 +13,8 @@
 // Above this many fitting machines a job is placed on a random sample of them.
 constexpr std::size_t kSampleAbove = 96, kSample = 64;
 // Room is kept for a job whose tasks found none, once it has waited this long.
-constexpr Seconds kReserveAfter{5};
-constexpr std::size_t kMostReserved = 4;
+constexpr Seconds kReserveAfter{1};
+constexpr std::size_t kMostReserved = 8;
 // Seconds of slack that a core-second of work left weighs.
 constexpr double kWorkWeight = 0.01;
 constexpr double kCpusPerGpu = 10;
