Guarantees hold for a team's earlier jobs, one by one

Cause: a team lost its guarantee as a whole once its unfinished jobs exceeded it, though its earlier jobs still fit (PROTOCOL, How aims are counted).

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -847,7 +847,7 @@
   sched::Snapshot s;
   const auto now = runtime_.now();
   for (const auto& [name, t] : settings_.teams) {
-    s.teams[name] = {{}, t.cpus, t.gpus, t.cpus_max, t.gpus_max, {}};
+    s.teams[name] = {{}, t.cpus, t.gpus, t.cpus_max, t.gpus_max};
   }
   const auto sizes = group_sizes();
   std::map<std::string, std::map<std::string, std::uint32_t>> in_zone;  // of jobs that care
@@ -876,8 +876,16 @@
     machine_ids.push_back(id);
     s.machines.push_back(std::move(p));
   }
-  for (auto& [id, job] : jobs_.all()) {
-    s.teams[job.spec->team].wanted.add(*job.spec, job.unfinished());
+  std::vector<const Job*> by_arrival;
+  for (const auto& [id, job] : jobs_.all()) by_arrival.push_back(&job);
+  std::sort(by_arrival.begin(), by_arrival.end(), [](const Job* a, const Job* b) {
+    return std::tie(a->accepted, a->spec->id) < std::tie(b->accepted, b->spec->id);
+  });
+  sched::Guarantees guarantees(s.teams);
+  for (const Job* arrived : by_arrival) {
+    const Job& job = *arrived;
+    const std::string& id = job.spec->id;
+    const bool guaranteed = guarantees.next(*job.spec, job.unfinished());
     if (job.waiting.empty() || now < job.not_before || job.ending) continue;
     // Until all machines have been heard from, tasks that nobody reported may run anywhere.
     if (!settled_ && job.begun_before) continue;
@@ -896,6 +904,7 @@
     p.last_zone = job.last_zone;
     p.remaining = remaining_of(job);
     p.waited = age_of(job);
+    p.guaranteed = guaranteed;
     p.slack = slack_of(job, p.remaining);
     p.work = p.remaining * static_cast<double>(p.unfinished);
     job_ids.push_back(id);
--- a/src/sched/planner.cpp
+++ b/src/sched/planner.cpp
@@ -212,8 +212,18 @@
 
 bool fits(const JobSpec& job, const Use& free) { return room(job, free) > 0; }
 
-bool precedes(const PlanJob& a, bool a_guaranteed, const PlanJob& b, bool b_guaranteed) {
-  if (a_guaranteed != b_guaranteed) return a_guaranteed;
+bool Guarantees::next(const JobSpec& job, std::uint32_t unfinished) {
+  const auto team = teams_.find(job.team);
+  if (team == teams_.end()) return false;
+  const auto& t = team->second;
+  auto& earlier = earlier_[job.team];
+  earlier.add(job, unfinished);
+  if (t.guaranteed_cpus <= 0 && t.guaranteed_gpus <= 0) return false;
+  return earlier.cpus <= t.guaranteed_cpus + kSlack && earlier.gpus <= t.guaranteed_gpus + kSlack;
+}
+
+bool precedes(const PlanJob& a, const PlanJob& b) {
+  if (a.guaranteed != b.guaranteed) return a.guaranteed;
   if (a.job->priority != b.job->priority) return a.job->priority > b.job->priority;
   const bool a_late = a.slack < 0, b_late = b.slack < 0;
   if (a_late != b_late) return b_late;
@@ -226,12 +236,8 @@
   Plan out;
   std::vector<std::size_t> order(s.jobs.size());
   std::iota(order.begin(), order.end(), 0);
-  std::map<std::string, bool> guaranteed;
-  for (const auto& [name, team] : s.teams) guaranteed[name] = team.within_guarantee();
-  std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-    return precedes(s.jobs[a], guaranteed[s.jobs[a].job->team], s.jobs[b],
-                    guaranteed[s.jobs[b].job->team]);
-  });
+  std::sort(order.begin(), order.end(),
+            [&](std::size_t a, std::size_t b) { return precedes(s.jobs[a], s.jobs[b]); });
   std::size_t reserved = 0;
   for (const auto i : order) {
     auto& j = s.jobs[i];
@@ -266,7 +272,8 @@
     const auto may_stop = [&](const PlanVictim& v) {
       if (v.job->priority < j.job->priority) return true;
       const auto& other = s.teams[v.job->team];
-      const bool has_guarantee = team.used.cpus + j.job->cpus <= team.guaranteed_cpus + kSlack &&
+      const bool has_guarantee = j.guaranteed &&
+                                 team.used.cpus + j.job->cpus <= team.guaranteed_cpus + kSlack &&
                                  team.used.gpus + j.job->gpus <= team.guaranteed_gpus + kSlack;
       const bool above =
           (v.job->cpus > 0 && other.used.cpus - v.job->cpus >= other.guaranteed_cpus) ||
--- a/src/sched/planner.hpp
+++ b/src/sched/planner.hpp
@@ -53,6 +53,7 @@
   Seconds remaining{0};                          // of a task
   Seconds work{0};                               // of all its unfinished tasks
   Seconds waited{0};
+  bool guaranteed = false;                       // see Guarantees
   double slack = 0;                              // seconds until it must start
   const std::set<std::size_t>* avoid = nullptr;  // machine refs it failed on
 };
@@ -61,11 +62,18 @@
   Use used;  // may be present anywhere
   double guaranteed_cpus = 0, guaranteed_gpus = 0;
   double max_cpus = 0, max_gpus = 0;  // 0: none
-  Use wanted;                         // of all its unfinished tasks
-  bool within_guarantee() const {
-    return (guaranteed_cpus > 0 || guaranteed_gpus > 0) && wanted.cpus <= guaranteed_cpus + 1e-6 &&
-           wanted.gpus <= guaranteed_gpus + 1e-6;
-  }
+};
+
+// A job is within its team's guarantee if it fits there together with the team's earlier jobs that
+// are not finished (PROTOCOL). Takes the unfinished jobs in the order of their arrival.
+class Guarantees {
+ public:
+  explicit Guarantees(const std::map<std::string, TeamState>& teams) : teams_(teams) {}
+  bool next(const JobSpec& job, std::uint32_t unfinished);
+
+ private:
+  const std::map<std::string, TeamState>& teams_;
+  std::map<std::string, Use> earlier_;
 };
 
 struct Placement {
@@ -88,7 +96,7 @@
 // Whether the job precedes the other: guarantees, priority, then those that can still be in time,
 // then the one with less work left on its tasks' dominant resource: users count jobs, and small
 // ones in front delay the large ones least.
-bool precedes(const PlanJob& a, bool a_guaranteed, const PlanJob& b, bool b_guaranteed);
+bool precedes(const PlanJob& a, const PlanJob& b);
 
 bool allowed_on(const JobSpec& job, const PlanMachine& machine);
 bool fits(const JobSpec& job, const Use& free);
--- a/tests/formulas_test.cpp
+++ b/tests/formulas_test.cpp
@@ -151,14 +151,33 @@
   guaranteed.team = "u";
   guaranteed.priority = late.priority = Priority::Low;
   s.teams["u"].guaranteed_cpus = 16;
-  s.teams["u"].wanted.cpus = 16;
+  const auto mark = [&] {
+    Guarantees guarantees(s.teams);
+    for (auto& j : s.jobs) j.guaranteed = guarantees.next(*j.job, j.waiting);
+  };
+  mark();
   EXPECT_EQ(placed(plan(s, rng), 2), 8U);
   s.machines[0].free = {16, 0, 64};
-  s.teams["u"].wanted.cpus = 17;  // no longer within the guarantee
+  s.teams["u"].guaranteed_cpus = 15;  // no longer fits
   for (auto& j : s.jobs) j.waiting = 8;
+  mark();
   EXPECT_EQ(placed(plan(s, rng), 1), 8U);
 }
 
+TEST(Guarantee, GoesToTheEarlierJobs) {
+  JobSpec job;
+  job.team = "t";
+  job.cpus = 30;
+  std::map<std::string, TeamState> teams;
+  teams["t"].guaranteed_cpus = 70;
+  Guarantees guarantees(teams);
+  EXPECT_TRUE(guarantees.next(job, 1));
+  EXPECT_TRUE(guarantees.next(job, 1));
+  EXPECT_FALSE(guarantees.next(job, 1));
+  job.team = "none";
+  EXPECT_FALSE(guarantees.next(job, 1));
+}
+
 TEST_F(Placing, StopsOnlyLowerPriorityAndWorkAboveOthersGuarantees) {
   machine(cpu, "a");
   s.machines[0].free = {0, 0, 60};
@@ -171,6 +190,7 @@
   const Plan none{{}, {{0, 1}}};
   EXPECT_TRUE(preempt(s, none, victims).empty());  // equal priority, no guarantee
   s.teams["t"].guaranteed_cpus = 8;
+  s.jobs[0].guaranteed = true;
   s.teams["u"].used.cpus = 16;
   EXPECT_EQ(preempt(s, none, victims), std::vector<std::size_t>{0});  // the one that loses least
   s.teams["t"].guaranteed_cpus = 0;
