--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -20,7 +20,7 @@
 constexpr auto kWritePatience = 3000ms;  // and 5 s for one to a submission
 constexpr std::size_t kMostReads = 400, kMostWrites = 2000;
 constexpr std::size_t kReadsInFlight = 16, kWritesInFlight = 4;
-constexpr std::size_t kLargestTxn = 60 * 1024;
+constexpr std::size_t kLargestTxn = std::size_t{60} * 1024;
 constexpr std::size_t kPageItems = 200;
 constexpr auto kDownAfter = 2s;
 
--- a/tests/random_runs_test.cpp
+++ b/tests/random_runs_test.cpp
@@ -242,6 +242,27 @@
   EXPECT_TRUE(s.checker.found("forgotten")) << s.checker.text();
 }
 
+TEST(Checker, CatchesACancelledJobCalledQueuedAgain) {
+  Scenario s(15);
+  std::string cancelled;
+  s.world.tamper = [&](const std::string&, const HttpRequest& request, HttpResponse& r) {
+    auto out = Json::parse(r.body, nullptr, false);
+    if (!out.is_object() || out.value("stage", "") != "withdrawn") return;
+    if (request.method == "POST") return;
+    out["stage"] = "queued";
+    r.body = out.dump();
+  };
+  Scenario::Ask a;
+  a.truth.team = "blue";
+  a.spec.cpus = 1;
+  a.spec.run_s = 100;
+  a.spec.image = "img";
+  const auto id = s.submit(a);
+  s.world.at(10s, [&s, id] { s.cancel(id); });
+  s.world.run_until(60);
+  EXPECT_TRUE(s.checker.found("went_back")) << s.checker.text();
+}
+
 TEST(RandomRuns, RepeatBySeed) {
   const auto once = [](std::uint64_t seed) {
     Scenario s(seed);
