--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -144,7 +144,7 @@
 }
 
 void Autoscaler::list(const std::string& after,
-                      std::shared_ptr<std::vector<ListedMachine>> so_far) {
+                      const std::shared_ptr<std::vector<ListedMachine>>& so_far) {
   cloud_.list(after, [self = weak_from_this(), so_far](std::optional<wire::MachinePage> page) {
     const auto a = self.lock();
     if (!a || a->stopped_) return;
@@ -238,11 +238,11 @@
     for (std::size_t i = 0; i < request.count; ++i) {
       coming[request.request + "/" + std::to_string(i)] = {{w.type, *zone, w.spot}, now, now};
     }
-    send(std::move(request), kAskTries);
+    send(request, kAskTries);
   }
 }
 
-void Autoscaler::send(wire::RentalRequest request, int tries) {
+void Autoscaler::send(const wire::RentalRequest& request, int tries) {
   cloud_.rent(request,
               [self = weak_from_this(), request, tries](const cloud::Cloud::RentResult& r) {
                 const auto a = self.lock();
--- a/src/autoscale/autoscale.hpp
+++ b/src/autoscale/autoscale.hpp
@@ -48,10 +48,10 @@
 
  private:
   void tick();
-  void list(const std::string& after, std::shared_ptr<std::vector<ListedMachine>> so_far);
+  void list(const std::string& after, const std::shared_ptr<std::vector<ListedMachine>>& so_far);
   void listed(const std::vector<ListedMachine>& machines);
   void rent();
-  void send(wire::RentalRequest request, int tries);
+  void send(const wire::RentalRequest& request, int tries);
   void give_back();
   bool refused(const Pool& pool) const;
   bool may_spare(const fleet::Machine& machine) const;
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -14,7 +14,7 @@
 }
 
 std::string text(const toml::table& t, const std::string& where, std::string_view key) {
-  const auto v = t[key].value<std::string>();
+  auto v = t[key].value<std::string>();
   if (!v || v->empty()) fail(where + std::string(key), "a non-empty string is needed");
   return *v;
 }
@@ -32,7 +32,7 @@
 }
 
 std::string address(const toml::table& t, const std::string& where, std::string_view key) {
-  const auto v = text(t, where, key);
+  auto v = text(t, where, key);
   const auto colon = v.rfind(':');
   int port = 0;
   if (colon != std::string::npos) {
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -77,7 +77,7 @@
 }
 
 void Fleet::load() {
-  store_.list(store::kLivePrefix, [self = weak_from_this()](store::ListResult r) {
+  store_.list(store::kLivePrefix, [self = weak_from_this()](const store::ListResult& r) {
     const auto f = self.lock();
     if (!f || !f->alive()) return;
     if (!r.ok) {
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -135,7 +135,7 @@
     refusal = failure(400, e.what());
   }
   if (refusal.status == 0) {
-    accept(std::move(job), respond);
+    accept(job, respond);
     return;
   }
   if (id.empty()) {
@@ -148,7 +148,7 @@
   });
 }
 
-void Frontend::accept(JobSpec job, const Respond& respond) {
+void Frontend::accept(const JobSpec& job, const Respond& respond) {
   wire::Txn txn;
   const std::string id = job.id;
   txn.conditions = {{store::live_key(id), 0}, {store::final_key(id), 0}};
--- a/src/frontend/frontend.hpp
+++ b/src/frontend/frontend.hpp
@@ -44,7 +44,7 @@
   void look_up(const std::string& id, std::function<void(Found)> done);
   void answer_known(const std::string& id, const Found& found, const Respond& respond,
                     HttpResponse if_absent);
-  void accept(JobSpec job, const Respond& respond);
+  void accept(const JobSpec& job, const Respond& respond);
   void cancel_once(const std::string& id, int tries, const Respond& respond);
   void remember(const std::string& id, const store::FinalRecord& record);
   HttpResponse unavailable() const;
--- a/src/leader/election.cpp
+++ b/src/leader/election.cpp
@@ -71,7 +71,7 @@
 void Election::follow(std::uint64_t version) {
   const auto epoch = ++epoch_;
   store_.watch(store::kLeaderKey, version, kWatchWait,
-               [this, epoch, version](store::WatchResult r) {
+               [this, epoch, version](const store::WatchResult& r) {
                  if (epoch != epoch_) return;
                  if (r.outcome == store::WatchResult::Outcome::Events && r.events.items.empty()) {
                    follow(version);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::size_t kLongestTarget = 2048;
-constexpr std::size_t kMostPipelined = 16 * 1024;
+constexpr std::size_t kMostPipelined = std::size_t{16} * 1024;
 
 const char* reason(int status) {
   switch (status) {
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -20,7 +20,7 @@
  public:
   struct Limits {
     std::size_t connections = 500;
-    std::size_t body = 64 * 1024;
+    std::size_t body = std::size_t{64} * 1024;
     Duration request_time = 10s;  // from a request's first byte to its last
     Duration idle_time = 120s;
   };
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -72,7 +72,7 @@
 }
 
 void LoopRuntime::send_peer(const std::string& node, std::string message) {
-  peers_.send(node, std::move(message));
+  peers_.send(node, message);
 }
 
 }  // namespace asterstair::net
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -10,8 +10,8 @@
 namespace asterstair::net {
 namespace {
 
-constexpr std::size_t kLargestMessage = 256 * 1024;
-constexpr std::size_t kMostQueued = 512 * 1024;
+constexpr std::size_t kLargestMessage = std::size_t{256} * 1024;
+constexpr std::size_t kMostQueued = std::size_t{512} * 1024;
 constexpr std::size_t kMostIncoming = 16;
 constexpr auto kReconnectAfter = 500ms;
 constexpr auto kStuckAfter = 3s;
@@ -161,7 +161,7 @@
            [](uv_handle_t* h) { delete static_cast<Outgoing::Socket*>(h->data); });
 }
 
-void PeerLink::send(const std::string& node, std::string message) {
+void PeerLink::send(const std::string& node, const std::string& message) {
   const auto it = outgoing_.find(node);
   if (it == outgoing_.end() || message.size() > kLargestMessage) return;
   Outgoing& out = *it->second;
--- a/src/net/peer_link.hpp
+++ b/src/net/peer_link.hpp
@@ -20,7 +20,7 @@
 
   PeerLink(uv_loop_t* loop, const Settings& settings);
   void listen(Receive receive);  // throws std::runtime_error
-  void send(const std::string& node, std::string message);
+  void send(const std::string& node, const std::string& message);
 
  private:
   struct Outgoing;
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -163,7 +163,8 @@
 }
 
 void Store::list_page(const std::string& prefix, const std::string& after, int tries,
-                      std::shared_ptr<ListResult> so_far, std::function<void(ListResult)> done) {
+                      const std::shared_ptr<ListResult>& so_far,
+                      std::function<void(ListResult)> done) {
   requests_.force(1, runtime_.now());
   runtime_.http(
       address_, wire::list_keys_request(prefix, after, kPageItems), 3s,
@@ -340,7 +341,7 @@
 void Store::touch_grant(std::uint64_t grant, std::function<void(GrantOutcome)> done) {
   requests_.force(1, runtime_.now());
   runtime_.http(address_, wire::touch_request(grant), kGrantTimeout,
-                [this, done = std::move(done)](HttpResponse r) {
+                [this, done = std::move(done)](const HttpResponse& r) {
                   note(r.status);
                   done(r.status == 200   ? GrantOutcome::Alive
                        : r.status == 404 ? GrantOutcome::Gone
@@ -351,7 +352,7 @@
 void Store::drop_grant(std::uint64_t grant) {
   requests_.force(1, runtime_.now());
   runtime_.http(address_, wire::drop_grant_request(grant), kGrantTimeout,
-                [this](HttpResponse r) { note(r.status); });
+                [this](const HttpResponse& r) { note(r.status); });
 }
 
 void Store::watch(const std::string& prefix, std::uint64_t after, Duration wait,
@@ -359,7 +360,7 @@
   requests_.force(1, runtime_.now());
   runtime_.http(
       address_, wire::watch_request(prefix, after, wait), wait + 3s,
-      [this, done = std::move(done)](HttpResponse r) {
+      [this, done = std::move(done)](const HttpResponse& r) {
         // Open watches wait silently through an outage; only answers count.
         if (r.status != 0) note(r.status);
         WatchResult out;
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -86,7 +86,7 @@
   void send_read(Read read);
   void send_batch(std::size_t urgency, Batch batch);
   void list_page(const std::string& prefix, const std::string& after, int tries,
-                 std::shared_ptr<ListResult> so_far, std::function<void(ListResult)> done);
+                 const std::shared_ptr<ListResult>& so_far, std::function<void(ListResult)> done);
   void note(int status);
 
   Runtime& runtime_;
--- a/src/wire/worker.hpp
+++ b/src/wire/worker.hpp
@@ -11,7 +11,7 @@
 
 inline constexpr std::string_view kDirectPath = "/orders";
 // A line of an answer may not exceed this (PROTOCOL); commands beyond it wait for the next.
-inline constexpr std::size_t kLongestAnswer = 60 * 1024;
+inline constexpr std::size_t kLongestAnswer = std::size_t{60} * 1024;
 
 WorkerReport decode_report(const std::string& body);  // throws BadMessage
 // Commands that would make the answer too long are left out, from the end.
