--- /dev/null
+++ b/tests/autoscale_test.cpp
@@ -0,0 +1,62 @@
+// Wanted machines against rented: the pure part.
+
+#include "autoscale/autoscale.hpp"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace asterstair;
+using namespace asterstair::autoscale;
+
+class Wanting : public testing::Test {
+ protected:
+  Wanting() {
+    MachineType cpu{"cpu", 16, 0, 64, 50, 1, 1.6, 0.5, Seconds(10), {"a", "b"}};
+    MachineType gpu{"gpu", 16, 2, 64, 50, 1, 6, 2, Seconds(10), {"a"}};
+    catalog.set({cpu, gpu});
+  }
+  fleet::Demand demand(std::uint32_t tasks, double cpus, double gpus, bool spot) {
+    auto job = std::make_shared<JobSpec>();
+    job->tasks = tasks;
+    job->cpus = cpus;
+    job->gpus = gpus;
+    job->memory_gb = 1;
+    job->spot = spot;
+    return {job, tasks, Seconds(60), 100};
+  }
+  std::vector<Want> want(const std::vector<fleet::Demand>& d,
+                         const std::map<std::string, Coming>& coming = {}) {
+    return wanted(d, catalog, coming, [this](const Pool& p) { return refused.count(p) != 0; });
+  }
+  cloud::Catalog catalog;
+  std::set<Pool> refused;
+};
+
+TEST_F(Wanting, RentsTheCheapestThatServes) {
+  const auto w = want({demand(16, 4, 0, true)});
+  ASSERT_EQ(w.size(), 1U);
+  EXPECT_EQ(w[0].type, "cpu");
+  EXPECT_TRUE(w[0].spot);
+  EXPECT_EQ(w[0].count, 4U);
+  EXPECT_EQ(want({demand(2, 4, 1, false)})[0].type, "gpu");
+  EXPECT_FALSE(want({demand(2, 4, 0, false)})[0].spot);
+}
+
+TEST_F(Wanting, CountsWhatIsComing) {
+  const std::map<std::string, Coming> coming{{"n-1", {{"cpu", "a", false}, {}, {}}}};
+  EXPECT_TRUE(want({demand(4, 4, 0, false)}, coming).empty());
+  EXPECT_EQ(want({demand(5, 4, 0, false)}, coming)[0].count, 1U);
+}
+
+TEST_F(Wanting, TurnsElsewhereWhenRefused) {
+  refused = {{"cpu", "a", true}, {"cpu", "b", true}};
+  const auto w = want({demand(4, 4, 0, true)});
+  ASSERT_EQ(w.size(), 1U);
+  EXPECT_FALSE(w[0].spot);
+  refused.insert({"cpu", "a", false});
+  refused.insert({"cpu", "b", false});
+  EXPECT_TRUE(want({demand(4, 4, 0, false)}).empty());  // not onto accelerator machines
+}
+
+}  // namespace
