--- a/tests/random_runs_test.cpp
+++ b/tests/random_runs_test.cpp
@@ -55,6 +55,17 @@
   }
   if (day.outages) {
     often(60, [&s, &w] {
+      if (w.chance(0.4)) {
+        // The leader's node alone, half the time.
+        const int leader = s.leader();
+        const int which =
+            leader >= 0 && w.chance(0.5) ? leader : static_cast<int>(w.uniform(0, 2.999));
+        const std::string host = "ghat-" + std::to_string(which);
+        w.refuse(host, "state", true);
+        w.at(to_duration(Seconds(w.uniform(3, 45))),
+             [&w, host] { w.refuse(host, "state", false); });
+        return;
+      }
       s.state.outage(true);
       w.at(to_duration(Seconds(w.uniform(3, 30))), [&s] { s.state.outage(false); });
     });
@@ -119,7 +130,10 @@
   s.cloud.down = false;
   s.cloud.never_boots = 0;
   s.world.lose = s.world.delay = 0;
-  for (int i = 0; i < 3; ++i) s.world.heal("ghat-" + std::to_string(i));
+  for (int i = 0; i < 3; ++i) {
+    s.world.heal("ghat-" + std::to_string(i));
+    s.world.refuse("ghat-" + std::to_string(i), "state", false);
+  }
   for (const auto& m : s.cloud.running()) {
     s.world.heal(m->id);
     m->sick = false;
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -59,6 +59,15 @@
     }
   }
 
+  // One host alone is answered 503 by another.
+  void refuse(const std::string& from, const std::string& to, bool on) {
+    if (on) {
+      refused_.emplace(from, to);
+    } else {
+      refused_.erase({from, to});
+    }
+  }
+
   void http(const std::string& from, const std::string& address, HttpRequest request,
             Duration timeout, std::function<void(HttpResponse)> done) {
     struct Call {
@@ -81,6 +90,10 @@
       return;
     }
     const std::string to = it->second.host;
+    if (refused_.count({from, to}) != 0) {
+      at(5ms, [finish] { finish({503, "{}"}); });
+      return;
+    }
     carry(from, to, [this, from, to, address, request = std::move(request), finish] {
       const auto server = servers_.find(address);
       if (server == servers_.end()) {
@@ -131,6 +144,7 @@
   std::priority_queue<Event> events_;
   std::map<std::string, Server> servers_;
   std::set<std::string> cuts_;
+  std::set<std::pair<std::string, std::string>> refused_;
   std::vector<std::pair<std::pair<std::string, std::string>, std::function<void()>>> held_;
 };
 
