--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "base/log.hpp"
+#include "sched/score.hpp"
 
 namespace asterstair::autoscale {
 namespace {
@@ -26,7 +27,8 @@
 
 std::vector<Want> wanted(const std::vector<fleet::Demand>& demand, const cloud::Catalog& catalog,
                          const std::map<std::string, Coming>& coming,
-                         const std::function<bool(const Pool&)>& refused) {
+                         const std::function<bool(const Pool&)>& refused,
+                         const std::function<double(const Pool&)>& loss_rate) {
   struct Empty {
     const MachineType* type;
     std::string zone;
@@ -64,16 +66,21 @@
       if (job.gpus <= 0 && t.gpus > 0) continue;  // accelerators are for those that need them
       for (const bool spot : {true, false}) {
         if (spot && !job.spot) continue;
-        bool any = false;
+        double rate = -1;  // of the safest zone to be had
         for (const auto& z : t.zones) {
-          any = any || ((!job.zone || *job.zone == z) && !refused({name, z, spot}));
+          const Pool pool{name, z, spot};
+          if ((job.zone && *job.zone != z) || refused(pool)) continue;
+          rate = rate < 0 ? loss_rate(pool) : std::min(rate, loss_rate(pool));
         }
-        if (!any) continue;
+        if (rate < 0) continue;
         // All the type's room counts: other tasks will share the machine.
         double per_machine = t.cpus / std::max(job.cpus, 1e-9);
         if (job.gpus > 0) per_machine = std::min(per_machine, t.gpus / job.gpus);
         if (job.memory_gb > 0) per_machine = std::min(per_machine, t.memory_gb / job.memory_gb);
-        const double price = (spot ? t.spot_price : t.price) / std::floor(per_machine + 1e-6);
+        // Work that is lost is bought again.
+        const double again = 1 + sched::takeback_chance(rate, d.remaining);
+        const double price =
+            (spot ? t.spot_price : t.price) * again / std::floor(per_machine + 1e-6);
         if (best == nullptr || price < best_price) {
           best = &t;
           best_price = price;
@@ -211,8 +218,13 @@
       coming[name + "/" + std::to_string(i)] = {{r.type, r.zone, r.spot}, now, now};
     }
   }
-  const auto wants =
-      wanted(fleet_->demand(), catalog_, coming, [this](const Pool& p) { return refused(p); });
+  const auto sizes = fleet_->group_sizes();
+  const auto wants = wanted(
+      fleet_->demand(), catalog_, coming, [this](const Pool& p) { return refused(p); },
+      [&](const Pool& p) {
+        const auto n = sizes.find({p.zone, p.spot});
+        return fleet_->losses().rate({p.zone, p.spot}, n == sizes.end() ? 1 : n->second, now);
+      });
   for (const auto& w : wants) {
     if (!cloud_.may_call()) return;
     const auto* type = catalog_.find(w.type);
--- a/src/autoscale/autoscale.hpp
+++ b/src/autoscale/autoscale.hpp
@@ -36,7 +36,8 @@
 };
 std::vector<Want> wanted(const std::vector<fleet::Demand>& demand, const cloud::Catalog& catalog,
                          const std::map<std::string, Coming>& coming,
-                         const std::function<bool(const Pool&)>& refused);
+                         const std::function<bool(const Pool&)>& refused,
+                         const std::function<double(const Pool&)>& loss_rate);
 
 class Autoscaler : public std::enable_shared_from_this<Autoscaler> {
  public:
--- a/tests/autoscale_test.cpp
+++ b/tests/autoscale_test.cpp
@@ -27,10 +27,13 @@
   }
   std::vector<Want> want(const std::vector<fleet::Demand>& d,
                          const std::map<std::string, Coming>& coming = {}) {
-    return wanted(d, catalog, coming, [this](const Pool& p) { return refused.count(p) != 0; });
+    return wanted(
+        d, catalog, coming, [this](const Pool& p) { return refused.count(p) != 0; },
+        [this](const Pool& p) { return p.spot ? spot_loss : 1e-6; });
   }
   cloud::Catalog catalog;
   std::set<Pool> refused;
+  double spot_loss = 1e-5;
 };
 
 TEST_F(Wanting, RentsTheCheapestThatServes) {
@@ -43,6 +46,14 @@
   EXPECT_FALSE(want({demand(2, 4, 0, false)})[0].spot);
 }
 
+TEST_F(Wanting, WeighsLossesAgainstThePrice) {
+  MachineType dear{"cpu", 16, 0, 64, 50, 1, 0.8, 0.5, Seconds(10), {"a"}};
+  catalog.set({dear});
+  EXPECT_TRUE(want({demand(4, 4, 0, true)})[0].spot);
+  spot_loss = 0.1;  // a minute's task is as good as lost: twice 0.5 is more than 0.8
+  EXPECT_FALSE(want({demand(4, 4, 0, true)})[0].spot);
+}
+
 TEST_F(Wanting, CountsWhatIsComing) {
   const std::map<std::string, Coming> coming{{"n-1", {{"cpu", "a", false}, {}, {}}}};
   EXPECT_TRUE(want({demand(4, 4, 0, false)}, coming).empty());
