--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -899,14 +899,13 @@
     p.ref = job_ids.size();
     p.job = job.spec.get();
     p.waiting = static_cast<std::uint32_t>(job.waiting.size());
-    p.unfinished = job.unfinished();
     if (const auto it = in_zone.find(id); it != in_zone.end()) p.in_zone = it->second;
     p.last_zone = job.last_zone;
     p.remaining = remaining_of(job);
     p.waited = age_of(job);
     p.guaranteed = guaranteed;
     p.slack = slack_of(job, p.remaining);
-    p.work = p.remaining * static_cast<double>(p.unfinished);
+    p.work = p.remaining * static_cast<double>(job.unfinished());
     job_ids.push_back(id);
     s.jobs.push_back(std::move(p));
   }
--- a/src/leader/election.cpp
+++ b/src/leader/election.cpp
@@ -23,10 +23,6 @@
 
 void Election::start() { check(); }
 
-void Election::look_again() {
-  if (!leading()) check();
-}
-
 void Election::check_later(Duration delay) {
   const auto epoch = ++epoch_;
   runtime_.after(delay, [this, epoch] {
--- a/src/leader/election.hpp
+++ b/src/leader/election.hpp
@@ -29,8 +29,6 @@
   wire::Condition guard() const { return {store::kLeaderKey, token_}; }
   // Last known leader, this node included; empty if unknown.
   const std::string& leader() const { return leader_; }
-  // The key's drop was seen elsewhere, or a write's guard failed: look again.
-  void look_again();
 
  private:
   void check();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -31,7 +31,6 @@
 }
 
 void Node::start() {
-  started_ = runtime_.now();
   election_.start();
   learn_types();
   share_hints();
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -53,7 +53,6 @@
   std::map<std::string, Sibling> siblings_;
   std::string hinted_leader_;
   std::uint64_t hinted_token_ = 0;
-  TimePoint started_{};
   bool types_fresh_ = false;
 };
 
--- a/src/sched/planner.hpp
+++ b/src/sched/planner.hpp
@@ -46,8 +46,7 @@
 struct PlanJob {
   std::size_t ref = 0;  // the caller's
   const JobSpec* job = nullptr;
-  std::uint32_t waiting = 0;  // tasks that may be placed now
-  std::uint32_t unfinished = 0;
+  std::uint32_t waiting = 0;                     // tasks that may be placed now
   std::map<std::string, std::uint32_t> in_zone;  // its tasks that are, or may be, there
   std::string last_zone;                         // of a gang that ran before
   Seconds remaining{0};                          // of a task
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -62,12 +62,6 @@
   return last_ok_ != TimePoint{} && runtime_.now() - last_ok_ < within;
 }
 
-std::size_t Store::queued_writes() const {
-  std::size_t n = 0;
-  for (const auto& q : writes_) n += q.size();
-  return n;
-}
-
 void Store::wake(Duration delay) {
   if (wake_set_) return;
   wake_set_ = true;
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -61,7 +61,6 @@
   bool seems_down() const;
   // Whether a request was answered within the last moments.
   bool heard_lately(Duration within) const;
-  std::size_t queued_writes() const;
 
  private:
   struct Read {
--- a/tests/edges_test.cpp
+++ b/tests/edges_test.cpp
@@ -159,27 +159,21 @@
  protected:
   Http() {
     uv_loop_init(&loop);
-    server = std::make_unique<net::HttpServer>(
-        &loop, net::HttpServer::Limits{4, 1024, 300ms, 300ms},
-        [this](HttpRequest r, const net::Respond& respond) {
-          ++served;
-          respond({r.target == "/missing" ? 404 : 200, r.method + " " + r.body,
-                   std::chrono::seconds(7)});
-        });
     // A port of the system's choosing would do, but the server takes addresses as settings give
     // them: try a few.
     for (int port = 20000 + getpid() % 20000; server_port == 0; ++port) {
+      server = std::make_unique<net::HttpServer>(
+          &loop, net::HttpServer::Limits{4, 1024, 300ms, 300ms},
+          [this](HttpRequest r, const net::Respond& respond) {
+            ++served;
+            respond({r.target == "/missing" ? 404 : 200, r.method + " " + r.body,
+                     std::chrono::seconds(7)});
+          });
       try {
         server->listen("127.0.0.1:" + std::to_string(port));
         server_port = port;
       } catch (const std::runtime_error&) {
-        server = std::make_unique<net::HttpServer>(
-            &loop, net::HttpServer::Limits{4, 1024, 300ms, 300ms},
-            [this](HttpRequest r, const net::Respond& respond) {
-              ++served;
-              respond({r.target == "/missing" ? 404 : 200, r.method + " " + r.body,
-                       std::chrono::seconds(7)});
-            });
+        continue;  // taken
       }
     }
   }
--- a/tests/formulas_test.cpp
+++ b/tests/formulas_test.cpp
@@ -84,7 +84,7 @@
     PlanJob p;
     p.ref = s.jobs.size();
     p.job = &j;
-    p.waiting = p.unfinished = tasks;
+    p.waiting = tasks;
     p.remaining = Seconds(60);
     p.slack = 100;
     s.jobs.push_back(p);
--- a/tests/random_runs_test.cpp
+++ b/tests/random_runs_test.cpp
@@ -223,6 +223,16 @@
   EXPECT_TRUE(s.checker.found("not_done")) << s.checker.text();
 }
 
+void submit_and_cancel(Scenario& s, double run_s, Duration when) {
+  Scenario::Ask a;
+  a.truth.team = "blue";
+  a.spec.cpus = 1;
+  a.spec.run_s = run_s;
+  a.spec.image = "img";
+  const auto id = s.submit(a);
+  s.world.at(when, [&s, id] { s.cancel(id); });
+}
+
 TEST(Checker, CatchesACancelledTaskLeftRunning) {
   Scenario s(13);
   s.world.tamper = [](const std::string&, const HttpRequest& request, HttpResponse& r) {
@@ -235,13 +245,7 @@
     out["orders"] = kept;
     r.body = out.dump();
   };
-  Scenario::Ask a;
-  a.truth.team = "blue";
-  a.spec.cpus = 1;
-  a.spec.run_s = 200;
-  a.spec.image = "img";
-  const auto id = s.submit(a);
-  s.world.at(40s, [&s, id] { s.cancel(id); });
+  submit_and_cancel(s, 200, 40s);
   s.world.run_until(150);
   EXPECT_TRUE(s.checker.found("ran_cancelled")) << s.checker.text();
 }
@@ -258,7 +262,6 @@
 
 TEST(Checker, CatchesACancelledJobCalledQueuedAgain) {
   Scenario s(15);
-  std::string cancelled;
   s.world.tamper = [&](const std::string&, const HttpRequest& request, HttpResponse& r) {
     auto out = Json::parse(r.body, nullptr, false);
     if (!out.is_object() || out.value("stage", "") != "withdrawn") return;
@@ -266,13 +269,7 @@
     out["stage"] = "queued";
     r.body = out.dump();
   };
-  Scenario::Ask a;
-  a.truth.team = "blue";
-  a.spec.cpus = 1;
-  a.spec.run_s = 100;
-  a.spec.image = "img";
-  const auto id = s.submit(a);
-  s.world.at(10s, [&s, id] { s.cancel(id); });
+  submit_and_cancel(s, 100, 10s);
   s.world.run_until(60);
   EXPECT_TRUE(s.checker.found("went_back")) << s.checker.text();
 }
