--- /dev/null
+++ b/src/fleet/durable.cpp
@@ -0,0 +1,172 @@
+// What the leader makes durable: the roster of machines, progress, and how jobs end.
+
+#include "fleet/fleet.hpp"
+#include "store/records.hpp"
+
+namespace asterstair::fleet {
+
+// Writes keys that only the leader changes: conditional on leadership and on their versions. The
+// callback runs only while this term lasts.
+void Fleet::write_own(wire::Txn txn, store::Urgency urgency, std::function<void(bool)> done) {
+  std::vector<std::string> keys;
+  for (const auto& c : txn.changes) {
+    keys.push_back(c.key);
+    txn.conditions.push_back({c.key, versions_[c.key]});
+  }
+  txn.conditions.push_back(election_.guard());
+  store_.write(
+      std::move(txn), urgency,
+      [self = weak_from_this(), keys, done = std::move(done)](const store::WriteResult& r) {
+        const auto f = self.lock();
+        if (!f || !f->alive()) return;
+        if (r.outcome == store::WriteOutcome::Committed) {
+          for (const auto& key : keys) f->versions_[key] = r.revision;
+          done(true);
+          return;
+        }
+        if (r.outcome == store::WriteOutcome::NotDone) {
+          done(false);
+          return;
+        }
+        // An earlier unanswered write was, or may yet be, carried out: look which
+        // versions stand, then try again.
+        auto left = std::make_shared<std::size_t>(keys.size());
+        for (const auto& key : keys) {
+          f->store_.get(key, [self, key, left, done](const store::ReadResult& g) {
+            const auto h = self.lock();
+            if (!h || !h->alive()) return;
+            if (g.outcome == store::ReadOutcome::Found) h->versions_[key] = g.item.version;
+            if (g.outcome == store::ReadOutcome::Missing) h->versions_[key] = 0;
+            if (--*left == 0) done(false);
+          });
+        }
+      });
+}
+
+void Fleet::write_roster() {
+  if (roster_writing_) return;
+  for (auto it = roster_waiting_.begin(); it != roster_waiting_.end();) {
+    const Machine* m = machines_.find(*it);
+    it = m == nullptr || m->rostered ? roster_waiting_.erase(it) : std::next(it);
+  }
+  constexpr std::size_t kRoomPerName = 40;
+  const std::size_t per_chunk = settings_.value_bytes / kRoomPerName;
+  // The first chunk that names machines that have gone, or has room for new ones.
+  std::size_t chunk = 0;
+  std::set<std::string> names;
+  for (;; ++chunk) {
+    if (chunk >= roster_.size()) {
+      if (roster_waiting_.empty()) return;
+      roster_.emplace_back();
+    }
+    names.clear();
+    for (const auto& id : roster_[chunk]) {
+      const Machine* m = machines_.find(id);
+      if (m != nullptr && !m->silent) names.insert(id);
+    }
+    if (names.size() < roster_[chunk].size()) break;
+    if (!roster_waiting_.empty() && names.size() < per_chunk) break;
+  }
+  // Left out before the write is sent: one that comes back gets no work until it is entered anew.
+  for (const auto& id : roster_[chunk]) {
+    if (names.count(id) != 0) continue;
+    if (Machine* m = machines_.find(id)) m->rostered = false;
+  }
+  std::vector<std::string> added;
+  for (const auto& id : roster_waiting_) {
+    if (names.size() >= per_chunk) break;
+    names.insert(id);
+    added.push_back(id);
+  }
+  wire::Txn txn;
+  txn.changes = {{store::roster_key(chunk),
+                  store::encode_roster(std::vector<std::string>(names.begin(), names.end()))}};
+  roster_writing_ = true;
+  write_own(std::move(txn), store::Urgency::Start,
+            [this, chunk, names = std::move(names), added = std::move(added)](bool committed) {
+              roster_writing_ = false;
+              if (!committed) return;
+              roster_[chunk] = names;
+              for (const auto& id : added) {
+                roster_waiting_.erase(id);
+                if (Machine* m = machines_.find(id)) m->rostered = true;
+              }
+            });
+}
+
+void Fleet::begin_jobs() {
+  for (auto& [id, job] : jobs_.all()) {
+    if (!job.begun && !job.beginning) begin(job);
+  }
+}
+
+void Fleet::begin(Job& job) {
+  job.beginning = true;
+  wire::Txn txn;
+  txn.conditions = {{store::live_key(job.spec->id), job.version}};
+  txn.changes = {{store::progress_key(job.spec->id, 0),
+                  store::encode_chunk(job.done, 0, settings_.value_bytes)}};
+  write_own(std::move(txn), store::Urgency::Start, [this, id = job.spec->id](bool committed) {
+    Job* j = jobs_.find(id);
+    if (j == nullptr) return;
+    j->beginning = false;
+    j->begun = committed;
+  });
+}
+
+void Fleet::flush(Job& job) {
+  if (job.flushing || job.ending) return;
+  job.flushing = true;
+  job.last_flush = runtime_.now();
+  wire::Txn txn;
+  txn.conditions = {{store::live_key(job.spec->id), job.version}};
+  std::set<std::size_t> chunks;
+  for (const auto c : job.dirty) {
+    if (txn.changes.size() >= settings_.txn_ops) break;
+    txn.changes.push_back({store::progress_key(job.spec->id, c),
+                           store::encode_chunk(job.done, c, settings_.value_bytes)});
+    chunks.insert(c);
+  }
+  for (const auto c : chunks) job.dirty.erase(c);
+  auto written = std::make_shared<std::vector<bool>>(job.done);
+  write_own(std::move(txn), store::Urgency::Lazy,
+            [this, id = job.spec->id, chunks, written](bool committed) {
+              Job* j = jobs_.find(id);
+              if (j == nullptr) return;
+              j->flushing = false;
+              if (!committed) {
+                j->dirty.insert(chunks.begin(), chunks.end());
+                return;
+              }
+              const auto per = store::tasks_per_chunk(settings_.value_bytes);
+              for (auto& [mid, m] : machines_.all()) {
+                for (auto& [key, o] : m.occupants) {
+                  if (o.phase == Occupant::Phase::Exited && o.cause == ExitCause::Done &&
+                      key.first.job == id && (*written)[key.first.index] &&
+                      chunks.count(key.first.index / per) != 0) {
+                    o.forget = true;
+                  }
+                }
+              }
+            });
+}
+
+void Fleet::finish(Job& job) {
+  if (job.ending || !election_.entitled()) return;
+  job.ending = true;
+  auto txn =
+      store::end_job(*job.spec, job.version, false, settings_.value_bytes, settings_.txn_ops);
+  txn.conditions.push_back(election_.guard());
+  store_.write(std::move(txn), store::Urgency::Final,
+               [self = weak_from_this(), id = job.spec->id](const store::WriteResult& r) {
+                 const auto f = self.lock();
+                 if (!f || !f->alive()) return;
+                 Job* j = f->jobs_.find(id);
+                 if (j == nullptr) return;
+                 j->ending = false;
+                 // Otherwise the next turn tries again, or the watch tells of a cancellation.
+                 if (r.outcome == store::WriteOutcome::Committed) f->job_ended(id);
+               });
+}
+
+}  // namespace asterstair::fleet
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -29,6 +29,8 @@
 };
 
 inline constexpr Duration kArrivalWindow = 90s;
+// Failures on so many machines: the job is at fault, not they.
+inline constexpr std::size_t kBadJobMachines = 3;
 
 struct Arrival {
   TimePoint at{};
--- /dev/null
+++ b/src/fleet/loading.cpp
@@ -0,0 +1,211 @@
+// How a term begins and follows the live jobs: what earlier leaders left in the state service, then
+// the watch on it, until every machine that may hold tasks has been heard from.
+
+#include <algorithm>
+
+#include "base/log.hpp"
+#include "fleet/fleet.hpp"
+#include "store/records.hpp"
+
+namespace asterstair::fleet {
+namespace {
+
+constexpr auto kWatchWait = 5s;
+
+}  // namespace
+
+void Fleet::reload_later() {
+  runtime_.after(300ms, [self = weak_from_this()] {
+    if (const auto f = self.lock(); f && f->alive()) f->load();
+  });
+}
+
+void Fleet::load() {
+  store_.list(store::kLivePrefix, [self = weak_from_this()](const store::ListResult& r) {
+    const auto f = self.lock();
+    if (!f || !f->alive()) return;
+    if (!r.ok) {
+      f->reload_later();
+      return;
+    }
+    std::set<std::string> live;
+    for (const auto& item : r.items) {
+      live.insert(item.key.substr(std::string_view(store::kLivePrefix).size()));
+      f->add_live(item);
+    }
+    // On a second load, jobs that ended while no watch was open are missing.
+    std::vector<std::string> ended;
+    for (const auto& [id, job] : f->jobs_.all()) {
+      if (live.count(id) == 0 && job.version <= r.revision) ended.push_back(id);
+    }
+    for (const auto& id : ended) f->job_ended(id);
+    f->live_revision_ = r.revision;
+    f->view_at_ = f->runtime_.now();
+    if (f->loaded_) {
+      f->watch(r.revision);
+    } else {
+      f->load_progress();
+    }
+  });
+}
+
+void Fleet::load_progress() {
+  store_.list(store::kProgressPrefix, [self = weak_from_this()](const store::ListResult& r) {
+    const auto f = self.lock();
+    if (!f || !f->alive()) return;
+    if (!r.ok) {
+      f->reload_later();
+      return;
+    }
+    for (const auto& item : r.items) {
+      const auto key = store::parse_progress_key(item.key);
+      if (!key) continue;
+      Job* job = f->jobs_.find(key->first);
+      if (job == nullptr) {
+        // Left by a cancellation with more chunks than a transaction holds, or of a job accepted
+        // after the list was read; only what has no live record is swept.
+        wire::Txn sweep;
+        sweep.conditions = {f->election_.guard(), {store::live_key(key->first), 0}};
+        sweep.changes = {{item.key, std::nullopt}};
+        f->store_.write(std::move(sweep), store::Urgency::Lazy, [](const store::WriteResult&) {});
+        continue;
+      }
+      f->versions_[item.key] = item.version;
+      try {
+        store::decode_chunk(*item.value, key->second, f->settings_.value_bytes, job->done);
+      } catch (const wire::BadMessage& e) {
+        log::error("progress of {} is malformed: {}", key->first, e.what());
+      }
+      job->begun = job->begun_before = true;
+    }
+    for (auto& [id, job] : f->jobs_.all()) {
+      job.done_count =
+          static_cast<std::uint32_t>(std::count(job.done.begin(), job.done.end(), true));
+      // Where tasks of jobs that an earlier leader began may be is known once settled.
+      if (job.begun_before) {
+        job.waiting.clear();
+      } else {
+        Jobs::rebuild_waiting(job);
+      }
+    }
+    f->load_roster();
+  });
+}
+
+void Fleet::load_roster() {
+  store_.list(store::kRosterPrefix, [self = weak_from_this()](const store::ListResult& r) {
+    const auto f = self.lock();
+    if (!f || !f->alive()) return;
+    if (!r.ok) {
+      f->reload_later();
+      return;
+    }
+    f->roster_.clear();
+    for (const auto& item : r.items) {
+      f->versions_[item.key] = item.version;
+      std::set<std::string> chunk;
+      try {
+        for (auto& m : store::decode_roster(*item.value)) chunk.insert(std::move(m));
+      } catch (const wire::BadMessage& e) {
+        log::error("roster is malformed: {}", e.what());
+      }
+      for (const auto& id : chunk) {
+        Machine& m = f->machines_.at(id);
+        m.id = id;
+        m.rostered = true;
+        // No earlier leader answered after our claim; its answers renewed no later than that.
+        if (m.last_answered == TimePoint{}) m.last_answered = f->elected_at_;
+      }
+      f->roster_.push_back(std::move(chunk));
+    }
+    f->loaded_ = true;
+    log::info("term {}: {} live jobs, {} machines to hear from", f->token_, f->jobs_.all().size(),
+              f->machines_.all().size());
+    f->watch(f->live_revision_);
+    f->check_settled();
+  });
+}
+
+void Fleet::watch(std::uint64_t after) {
+  store_.watch(store::kLivePrefix, after, kWatchWait,
+               [self = weak_from_this(), after](const store::WatchResult& r) {
+                 const auto f = self.lock();
+                 if (!f || !f->alive()) return;
+                 if (r.outcome == store::WatchResult::Outcome::TooOld) {
+                   f->load();
+                   return;
+                 }
+                 if (r.outcome == store::WatchResult::Outcome::Unavailable) {
+                   f->runtime_.after(200ms, [self, after] {
+                     if (const auto g = self.lock(); g && g->alive()) g->watch(after);
+                   });
+                   return;
+                 }
+                 f->view_at_ = f->runtime_.now();
+                 for (const auto& item : r.events.items) {
+                   if (item.value) {
+                     f->add_live(item);
+                   } else {
+                     f->job_ended(item.key.substr(std::string_view(store::kLivePrefix).size()));
+                   }
+                 }
+                 f->watch(std::max(after, r.events.revision));
+               });
+}
+
+void Fleet::add_live(const wire::Item& item) {
+  try {
+    auto record = store::decode_live(*item.value);
+    const bool known = jobs_.find(record.job.id) != nullptr;
+    Job& job = jobs_.add(std::move(record.job), item.version, record.accepted);
+    if (!known) {
+      log::debug("job {} of {}: {} tasks, age {:.1f} s", job.spec->id, job.spec->job_class,
+                 job.spec->tasks, age_of(job).count());
+      plan_wanted_ = true;
+      // Of jobs found when a term begins the arrival is not known; they count as new.
+      arrivals_.push_back({runtime_.now(), job.spec, slack_of(job, remaining_of(job))});
+    }
+  } catch (const wire::BadMessage& e) {
+    log::error("live record {} is malformed: {}", item.key, e.what());
+  }
+}
+
+void Fleet::job_ended(const std::string& id) {
+  const Job* job = jobs_.find(id);
+  if (job == nullptr) return;
+  // Whatever of it is left serves nobody: stopped at once, and cleared when it has ended.
+  for (const auto& [index, placed] : job->placed) {
+    Machine* m = machines_.find(placed.machine);
+    if (m == nullptr) continue;
+    const auto it = m->occupants.find({TaskId{id, index}, placed.attempt});
+    if (it != m->occupants.end()) stop_occupant(it->second, Seconds(0));
+  }
+  log::info("job {} of {} ended after {:.1f} s, {} of {} tasks done", id, job->spec->job_class,
+            age_of(*job).count(), job->done_count, job->spec->tasks);
+  const auto chunks = store::chunk_count(job->spec->tasks, settings_.value_bytes);
+  for (std::size_t c = 0; c < chunks; ++c) versions_.erase(store::progress_key(id, c));
+  jobs_.erase(id);
+  plan_wanted_ = true;
+}
+
+bool Fleet::view_fresh() const {
+  // A watch that has not answered for long may hide cancellations; see leader_ttl().
+  return runtime_.now() - view_at_ < leader_ttl(settings_) + kWatchWait;
+}
+
+void Fleet::check_settled() {
+  if (settled_ || !loaded_) return;
+  std::size_t missing = 0;
+  for (const auto& [id, m] : machines_.all()) {
+    if (m.rostered && !m.reported && !m.silent) ++missing;
+  }
+  if (missing > 0) return;
+  settled_ = true;
+  for (auto& [id, job] : jobs_.all()) {
+    if (job.begun_before) Jobs::rebuild_waiting(job);
+  }
+  plan_wanted_ = true;
+  log::info("term {}: settled after {:.1f} s", token_, seconds(runtime_.now() - elected_at_));
+}
+
+}  // namespace asterstair::fleet
--- /dev/null
+++ b/src/fleet/reports.cpp
@@ -0,0 +1,301 @@
+// Reports in, commands out: what the workers say is taken over, and what follows from it.
+
+#include <algorithm>
+
+#include "base/log.hpp"
+#include "fleet/fleet.hpp"
+#include "sched/score.hpp"
+#include "store/records.hpp"
+#include "wire/worker.hpp"
+
+namespace asterstair::fleet {
+namespace {
+
+constexpr auto kLeaseMargin = 300ms;  // beyond drift: steps between clock reading and action
+constexpr auto kNoRoomPause = 3s;
+constexpr auto kFailedPause = 10s;            // of a machine whose last task failed
+constexpr std::uint32_t kFaultyJobs = 2;      // failures of so many jobs: the machine is at fault
+constexpr std::uint32_t kFaultyFailures = 6;  // or so many in a row
+constexpr auto kPlanEvery = 40ms;             // at most, while reports pour in
+constexpr auto kBackoffFirst = 4s, kBackoffMost = 60s;
+
+const char* cause_word(ExitCause c) {
+  switch (c) {
+    case ExitCause::None:
+      return "unstated";
+    case ExitCause::Done:
+      return "done";
+    case ExitCause::Stopped:
+      return "stopped";
+    case ExitCause::Peers:
+      return "peers";
+    case ExitCause::Alone:
+      return "alone";
+    case ExitCause::Error:
+      return "error";
+    case ExitCause::NoRoom:
+      return "no room";
+    case ExitCause::Busy:
+      return "busy";
+    case ExitCause::Unknown:
+      return "unknown";
+  }
+  return "";
+}
+
+}  // namespace
+
+HttpResponse Fleet::report(const WorkerReport& r) {
+  const auto now = runtime_.now();
+  Machine& m = machines_.at(r.machine);
+  if (m.id.empty()) m.id = r.machine;
+  // Whatever this answer does, it may renew the worker's lease.
+  m.last_answered = now;
+  if (r.token != token_ || !loaded_) {
+    // Sent before the worker knew this leader: what it shows may be older than the last leader's
+    // doings. The answer carries the token; the next report counts.
+    return {200, wire::encode_commands(token_, {})};
+  }
+  Events events;
+  if (machines_.apply(r, now, cache_gb(r.type), events) == Machines::Order::Late) {
+    return {200, wire::encode_commands(token_, {})};
+  }
+  if (!m.rostered) roster_waiting_.insert(m.id);
+  handle(m, events);
+  check_notices();
+  if (!settled_) check_settled();
+  if (plan_wanted_ && now - last_plan_ >= kPlanEvery) plan();
+  return {200, wire::encode_commands(token_, commands_for(m, r.seq))};
+}
+
+void Fleet::handle(Machine& m, const Events& events) {
+  for (const auto& e : events) {
+    const Occupant& o = e.occupant;
+    const auto key = std::pair(o.task, o.attempt);
+    plan_wanted_ = true;
+    switch (e.kind) {
+      case TaskEvent::Kind::Started: {
+        if (Job* job = jobs_.find(o.task.job); job != nullptr && !job->first_started) {
+          job->first_started = true;
+          log::info("job {} of {}: first task on {} after {:.1f} s", o.task.job,
+                    job->spec->job_class, m.id, age_of(*job).count());
+        }
+        break;
+      }
+      case TaskEvent::Kind::Adopted: {
+        Occupant& here = m.occupants.at(key);
+        Job* job = jobs_.find(o.task.job);
+        if (job != nullptr) here.job = job->spec;
+        // A reported task whose job is not live is killed; so is one that is done or elsewhere.
+        if (job == nullptr || !Jobs::place(*job, o.task.index, {m.id, o.attempt})) {
+          stop_occupant(here, Seconds(0));
+        } else {
+          job->first_started = true;
+        }
+        break;
+      }
+      case TaskEvent::Kind::Exited:
+        on_exit(m, o);
+        break;
+      case TaskEvent::Kind::NotStarted:
+        on_gone(m, o, false);
+        break;
+      case TaskEvent::Kind::Vanished:
+        on_gone(m, o, true);
+        break;
+    }
+  }
+}
+
+void Fleet::on_exit(Machine& m, const Occupant& o) {
+  Occupant& here = m.occupants.at({o.task, o.attempt});
+  const auto now = runtime_.now();
+  Job* job = jobs_.find(o.task.job);
+  if (job == nullptr) {
+    here.forget = true;
+    return;
+  }
+  if (o.cause == ExitCause::Done) {
+    m.failures = 0;
+    m.failed_jobs.clear();
+    const auto per = store::tasks_per_chunk(settings_.value_bytes);
+    // A gang completes together: when one task is done, every task is.
+    const auto first = job->spec->gang() ? 0 : o.task.index;
+    const auto last = job->spec->gang() ? job->spec->tasks - 1 : o.task.index;
+    for (auto i = first; i <= last; ++i) Jobs::set_done(*job, i, i / per);
+    Jobs::unplace(*job, o.task.index, {m.id, o.attempt});
+    if (job->all_done()) finish(*job);
+    return;  // cleared once that is durable
+  }
+  here.forget = true;
+  log::debug("{}/{} ended on {}: {}{}", o.task.job, o.task.index, m.id, cause_word(o.cause),
+             o.saved ? ", saved" : "");
+  switch (o.cause) {
+    case ExitCause::Error:
+      on_error(m, *job);
+      break;
+    case ExitCause::NoRoom:
+      m.no_room_until = now + kNoRoomPause;
+      break;
+    case ExitCause::Busy:
+    case ExitCause::Unknown:
+      job->not_before = now + kBackoffFirst;
+      break;
+    default:
+      break;
+  }
+  on_gone(m, o, false);
+}
+
+void Fleet::on_error(Machine& m, Job& job) {
+  const auto now = runtime_.now();
+  const bool new_here = job.failed_on.insert(m.id).second;
+  if (job.failed_on.size() >= kBadJobMachines) {
+    // It fails wherever it goes: submitted with a mistake. Tried ever more rarely until its user
+    // cancels it, and no longer held against the machines.
+    if (new_here || now >= job.not_before) {
+      const auto pause = std::min<Duration>(
+          kBackoffFirst * (1U << std::min(job.failure_rounds, 5U)), kBackoffMost);
+      job.not_before = now + pause;
+      ++job.failure_rounds;
+      log::info("job {} fails on several machines; next try in {:.0f} s", job.spec->id,
+                seconds(pause));
+      for (const auto& id : job.failed_on) {
+        if (Machine* other = machines_.find(id)) other->failed_jobs.erase(job.spec->id);
+      }
+    }
+    return;
+  }
+  m.failed_jobs.insert(job.spec->id);
+  ++m.failures;
+  m.paused_until = now + kFailedPause;
+  if (!m.faulty && (m.failed_jobs.size() >= kFaultyJobs || m.failures >= kFaultyFailures)) {
+    m.faulty = true;
+    log::info("machine {} fails its tasks ({} in a row, {} jobs); no more work for it", m.id,
+              m.failures, m.failed_jobs.size());
+  }
+}
+
+void Fleet::on_gone(Machine& m, const Occupant& o, bool lost) {
+  Job* job = jobs_.find(o.task.job);
+  if (job == nullptr) return;
+  const auto it = job->placed.find(o.task.index);
+  if (it == job->placed.end() || it->second.machine != m.id || it->second.attempt != o.attempt) {
+    return;
+  }
+  if (o.running_since != TimePoint{} && job->spec->checkpoint.count() > 0) {
+    // What its checkpoints kept, to judge how much is left.
+    const double ran = seconds(runtime_.now() - o.running_since);
+    const double every = job->spec->checkpoint.count();
+    auto& saved = job->saved_s[o.task.index];
+    saved += o.saved ? ran : static_cast<double>(static_cast<std::int64_t>(ran / every)) * every;
+  }
+  if (lost) log::debug("{}/{} lost on {}", o.task.job, o.task.index, m.id);
+  if (o.running_since != TimePoint{}) job->last_zone = m.zone;
+  Jobs::unplace(*job, o.task.index, {m.id, o.attempt});
+}
+
+void Fleet::stop_occupant(Occupant& o, Seconds grace) {
+  if (o.stop && o.grace <= grace) return;
+  o.stop = true;
+  o.grace = grace;
+  if (o.phase == Occupant::Phase::Exited) o.forget = true;
+}
+
+std::vector<Command> Fleet::commands_for(Machine& m, std::uint64_t seq) {
+  std::vector<Command> stops, forgets, starts;
+  const bool startable = m.rostered && usable(m) && view_fresh();
+  Events gone;
+  std::map<std::pair<std::string, bool>, std::size_t> sizes;
+  for (auto it = m.occupants.begin(); it != m.occupants.end();) {
+    Occupant& o = it->second;
+    switch (o.phase) {
+      case Occupant::Phase::Exited:
+        if (!o.forget && jobs_.find(o.task.job) == nullptr) o.forget = true;
+        if (o.forget) forgets.push_back({Command::Op::Forget, o.task, o.attempt});
+        break;
+      case Occupant::Phase::Present:
+        // Nobody may run whose job is not live; looked up here so that no path can miss it.
+        if (!o.stop && jobs_.find(o.task.job) == nullptr) stop_occupant(o, Seconds(0));
+        if (o.stop && !(o.state == TaskState::Saving && o.grace.count() > 0)) {
+          stops.push_back({Command::Op::Stop, o.task, o.attempt, o.grace});
+        }
+        break;
+      case Occupant::Phase::Planned:
+      case Occupant::Phase::Ordered: {
+        const Job* job = jobs_.find(o.task.job);
+        if (o.phase == Occupant::Phase::Planned && (o.stop || job == nullptr || !usable(m))) {
+          gone.push_back({TaskEvent::Kind::NotStarted, o});
+          it = m.occupants.erase(it);
+          continue;
+        }
+        if (o.phase == Occupant::Phase::Planned && startable && job->begun) {
+          double rate = 0;
+          if (sizes.empty()) sizes = group_sizes();
+          for (const auto& [index, placed] : job->placed) {
+            const Machine* other = machines_.find(placed.machine);
+            if (other == nullptr || (!job->spec->gang() && index != o.task.index)) continue;
+            const auto n = sizes.find({other->zone, other->spot});
+            rate += losses_.rate({other->zone, other->spot}, n == sizes.end() ? 1 : n->second,
+                                 runtime_.now());
+          }
+          Command start{Command::Op::Start, o.task, o.attempt};
+          if (job->spec->checkpoint.count() > 0) {
+            start.interval = sched::checkpoint_interval(job->spec->save, rate, sched::kLossBudget);
+          }
+          starts.push_back(std::move(start));
+        }
+        break;
+      }
+    }
+    ++it;
+  }
+  handle(m, gone);
+  std::vector<Command> out = std::move(stops);
+  out.insert(out.end(), forgets.begin(), forgets.end());
+  // Only what fits into the answer counts as ordered.
+  constexpr std::size_t kMostCommands = 300;
+  if (out.size() > kMostCommands) out.resize(kMostCommands);
+  for (auto& c : starts) {
+    if (out.size() >= kMostCommands) break;
+    Occupant& o = m.occupants.at({c.task, c.attempt});
+    o.phase = Occupant::Phase::Ordered;
+    o.ordered_seq = seq;
+    out.push_back(std::move(c));
+  }
+  return out;
+}
+
+void Fleet::expire_leases() {
+  const auto now = runtime_.now();
+  const auto out =
+      to_duration(Seconds(seconds(settings_.lease) * (1 + kClockDrift))) + kLeaseMargin;
+  for (auto& [id, m] : machines_.all()) {
+    if (m.silent || now - m.last_answered <= out) continue;
+    m.silent = true;
+    if (m.reported && !m.goes_at) losses_.lost({m.zone, m.spot}, now);
+    log::info("machine {}: its lease has run out", id);
+    Events events;
+    machines_.clear(m, events);
+    handle(m, events);
+  }
+}
+
+// Plans for machines that have fallen silent, or were given up, go to others.
+void Fleet::release_plans() {
+  for (auto& [id, m] : machines_.all()) {
+    if (usable(m)) continue;
+    Events gone;
+    for (auto it = m.occupants.begin(); it != m.occupants.end();) {
+      if (it->second.phase == Occupant::Phase::Planned) {
+        gone.push_back({TaskEvent::Kind::NotStarted, it->second});
+        it = m.occupants.erase(it);
+      } else {
+        ++it;
+      }
+    }
+    handle(m, gone);
+  }
+}
+
+}  // namespace asterstair::fleet
