--- /dev/null
+++ b/tests/load/leader_load.cpp
@@ -0,0 +1,44 @@
+// A grown fleet in simulated time, to count what the leader spends. Run it under callgrind as
+// profile.sh does: the counts repeat, since everything comes from one seed.
+
+#include <cstdlib>
+#include <iostream>
+
+#include "base/log.hpp"
+#include "sim/scenario.hpp"
+
+int main(int argc, char** argv) {
+  using namespace sim;
+  spdlog::set_level(spdlog::level::off);
+  const auto per_pool = argc > 1 ? std::strtoul(argv[1], nullptr, 10) : 25UL;
+  const double length = argc > 2 ? std::strtod(argv[2], nullptr) : 60;
+  Scenario s(7, per_pool);
+  auto& w = s.world;
+  // Arrays like the sweeps, gangs and accelerator arrays, a little more than there is room for.
+  const double machines = static_cast<double>(per_pool) * 12;
+  const double every = 60.0 / machines * 7;
+  for (double t = 1; t < length; t += w.uniform(0.5, 1.5) * every) {
+    w.at(to_duration(Seconds(t)), [&s, &w] {
+      Scenario::Ask a;
+      a.truth.team = "blue";
+      a.truth.spot = w.chance(0.8);
+      const double kind = w.uniform(0, 1);
+      a.spec.gang = kind > 0.9;
+      a.spec.tasks = static_cast<std::uint32_t>(w.uniform(2, kind > 0.9 ? 8 : 200));
+      a.spec.cpus = kind > 0.9 ? 12 : 1;
+      a.spec.gpus = kind > 0.8 && kind <= 0.9 ? 1 : 0;
+      a.spec.memory_gb = 1;
+      a.spec.run_s = w.uniform(15, 40);
+      a.spec.checkpoint_s = kind > 0.8 ? 10 : 0;
+      a.spec.save_s = 2;
+      a.spec.image = "img-" + std::to_string(static_cast<int>(w.uniform(0, 8)));
+      a.spec.image_gb = w.uniform(0.5, 2);
+      s.submit(a);
+    });
+  }
+  w.run_until(length);
+  std::cout << s.cloud.running().size() << " machines, " << s.checker.starts << " tasks started, "
+            << s.checker.done_tasks << " done, " << s.reports << " reports\n"
+            << s.checker.text();
+  return s.checker.broken.empty() ? 0 : 1;
+}
--- a/tests/sim/scenario.hpp
+++ b/tests/sim/scenario.hpp
@@ -154,6 +154,7 @@
     world.listen(addresses()[static_cast<std::size_t>(i)], name,
                  [this, i, life = ++p.life](const HttpRequest& r, const Respond& respond) {
                    auto& q = nodes[static_cast<std::size_t>(i)];
+                   if (r.target == "/v1/report") ++reports;
                    if (q.node && q.life == life) q.node->handle(r, respond);
                  });
     p.node->start();
@@ -286,6 +287,7 @@
   CloudService cloud;
   std::array<Process, 3> nodes;
   unsigned next_job = 0;
+  std::uint64_t reports = 0;
 };
 
 }  // namespace sim
