--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -225,17 +225,18 @@
         const auto n = sizes.find({p.zone, p.spot});
         return fleet_->losses().rate({p.zone, p.spot}, n == sizes.end() ? 1 : n->second, now);
       });
+  std::map<std::string, std::map<std::string, std::size_t>> by_type;
+  if (!wants.empty()) {
+    for (const auto& [id, m] : fleet_->machines().all()) {
+      if (m.reported && !m.silent) ++by_type[m.type][m.zone];
+    }
+    for (const auto& [id, c] : coming) ++by_type[c.pool.type][c.pool.zone];
+  }
   for (const auto& w : wants) {
     if (!cloud_.may_call()) return;
     const auto* type = catalog_.find(w.type);
     // Zones where most machines of the type run already come last: losses come by zone.
-    std::map<std::string, std::size_t> there;
-    for (const auto& [id, m] : fleet_->machines().all()) {
-      if (m.type == w.type && m.reported && !m.silent) ++there[m.zone];
-    }
-    for (const auto& [id, c] : coming) {
-      if (c.pool.type == w.type) ++there[c.pool.zone];
-    }
+    auto& there = by_type[w.type];
     const std::string* zone = nullptr;
     for (const auto& z : type->zones) {
       if (refused({w.type, z, w.spot}) || (w.job->zone && *w.job->zone != z)) continue;
@@ -247,9 +248,7 @@
         "r-" + std::to_string(election_.token()) + "-" + std::to_string(++requests_), w.type, *zone,
         w.spot, std::min(w.count, wire::kMostRented)};
     asked_[request.request] = request;
-    for (std::size_t i = 0; i < request.count; ++i) {
-      coming[request.request + "/" + std::to_string(i)] = {{w.type, *zone, w.spot}, now, now};
-    }
+    there[*zone] += request.count;
     send(request, kAskTries);
   }
 }
@@ -284,7 +283,7 @@
 
 // Whether enough room stays free without the machine for what may arrive before another could be
 // up: work that cannot wait for a boot.
-bool Autoscaler::may_spare(const fleet::Machine& machine) const {
+bool Autoscaler::may_spare(const fleet::Machine& machine, const FreeRoom& room) const {
   const auto* type = catalog_.find(machine.type);
   if (type == nullptr) return true;
   const bool gpu = type->gpus > 0;
@@ -295,17 +294,23 @@
     expected += a.job->tasks * (gpu ? a.job->gpus : a.job->cpus);
   }
   expected *= type->boot.count() / seconds(fleet::kArrivalWindow);
-  double room = 0;
+  // The machine itself is idle: its room is all free.
+  return gpu ? room.gpus - type->gpus >= expected : room.cpus - type->cpus >= expected;
+}
+
+// What is free for new work, on machines with accelerators and on those without.
+Autoscaler::FreeRoom Autoscaler::free_room() const {
+  FreeRoom out;
   for (const auto& [id, m] : fleet_->machines().all()) {
     const auto* t = catalog_.find(m.type);
-    if (&m == &machine || t == nullptr || (t->gpus > 0) != gpu || !fleet_->usable(m)) continue;
-    double free = gpu ? t->gpus : t->cpus;
-    for (const auto& [key, o] : m.occupants) {
-      if (o.holds_room() && o.job) free -= gpu ? o.job->gpus : o.job->cpus;
+    if (t == nullptr || !fleet_->usable(m)) continue;
+    if (t->gpus > 0) {
+      out.gpus += t->gpus - m.holding.used.gpus;
+    } else {
+      out.cpus += t->cpus - m.holding.used.cpus;
     }
-    room += free;
   }
-  return room >= expected;
+  return out;
 }
 
 void Autoscaler::give_back() {
@@ -323,6 +328,7 @@
     }
   }
   std::map<std::string, TimePoint> idle;
+  auto room = free_room();
   for (const auto& [id, m] : all) {
     if (m.silent && now - m.last_answered > settings_.lease + kSilentPatience) {
       to_return_.insert(id);
@@ -339,11 +345,15 @@
     const Duration keep = to_duration((type != nullptr ? type->boot : Seconds(60)) * kIdleBoots);
     // Drained first; returned once a later turn still finds it without tasks. Exited tasks wait
     // for their results to be durable.
-    if (m.faulty || m.draining || (fleet_->settled() && now - idle[id] > keep && may_spare(m))) {
+    if (m.faulty || m.draining ||
+        (fleet_->settled() && now - idle[id] > keep && may_spare(m, room))) {
       if (m.draining && m.occupants.empty()) {
         to_return_.insert(id);
-      } else {
+      } else if (!m.draining) {
         fleet_->drain(id);
+        // No longer there for what may come.
+        if (type != nullptr && type->gpus > 0) room.gpus -= type->gpus;
+        if (type != nullptr && type->gpus <= 0) room.cpus -= type->cpus;
       }
     }
   }
--- a/src/autoscale/autoscale.hpp
+++ b/src/autoscale/autoscale.hpp
@@ -55,7 +55,11 @@
   void send(const wire::RentalRequest& request, int tries);
   void give_back();
   bool refused(const Pool& pool) const;
-  bool may_spare(const fleet::Machine& machine) const;
+  struct FreeRoom {
+    double cpus = 0, gpus = 0;
+  };
+  FreeRoom free_room() const;
+  bool may_spare(const fleet::Machine& machine, const FreeRoom& room) const;
 
   Runtime& runtime_;
   cloud::Cloud& cloud_;
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -137,6 +137,9 @@
       s.max_connections = static_cast<std::size_t>(
           number(*limits, "cluster.machine_limits.", "max_connections", 16));
     }
+    if (limits->contains("cpu_share")) {
+      s.cpu_share = std::min(1.0, number(*limits, "cluster.machine_limits.", "cpu_share", 0.001));
+    }
   }
   leader_ttl(s);
   return s;
--- a/src/base/settings.hpp
+++ b/src/base/settings.hpp
@@ -39,6 +39,7 @@
   double cloud_rps = 0;
   Duration list_lag{};
   std::size_t max_connections = 0;
+  double cpu_share = 1;  // of one core
 
   std::size_t nodes() const { return siblings.size() + 1; }
 };
--- a/src/fleet/durable.cpp
+++ b/src/fleet/durable.cpp
@@ -1,5 +1,7 @@
 // What the leader makes durable: the roster of machines, progress, and how jobs end.
 
+#include <algorithm>
+
 #include "fleet/fleet.hpp"
 #include "store/records.hpp"
 
@@ -139,13 +141,10 @@
                 return;
               }
               const auto per = store::tasks_per_chunk(settings_.value_bytes);
-              for (auto& [mid, m] : machines_.all()) {
-                for (auto& [key, o] : m.occupants) {
-                  if (o.phase == Occupant::Phase::Exited && o.cause == ExitCause::Done &&
-                      key.first.job == id && (*written)[key.first.index] &&
-                      chunks.count(key.first.index / per) != 0) {
-                    o.forget = true;
-                  }
+              for (const auto c : chunks) {
+                const auto end = std::min<std::size_t>((c + 1) * per, written->size());
+                for (std::size_t i = c * per; i < end; ++i) {
+                  if ((*written)[i]) j->durable[i] = true;
                 }
               }
             });
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr auto kTick = 250ms;
+constexpr auto kSizesEvery = 1s;
 constexpr auto kFlushEvery = 3s;  // of a job's progress
 
 }  // namespace
@@ -39,7 +40,7 @@
   }
   check_settled();
   check_gangs();
-  check_notices();
+  for (auto& [id, m] : machines_.all()) check_notice(m);
   release_plans();
   if (!election_.entitled()) return;
   write_roster();
@@ -52,7 +53,7 @@
       flush(job);
     }
   }
-  plan();
+  if (runtime_.now() >= next_plan_) plan();
 }
 
 bool Fleet::usable(const Machine& m) const {
@@ -109,21 +110,32 @@
 }
 
 std::vector<JobCounts> Fleet::counts() const {
-  std::vector<JobCounts> out;
-  for (const auto& [id, job] : jobs_.all()) {
-    std::uint32_t running = 0;
-    for (const auto& [index, placed] : job.placed) {
-      const auto m = machines_.all().find(placed.machine);
-      if (m == machines_.all().end()) continue;
-      const auto o = m->second.occupants.find({TaskId{id, index}, placed.attempt});
-      if (o != m->second.occupants.end() && o->second.phase == Occupant::Phase::Present &&
-          o->second.state == TaskState::Running) {
-        ++running;
+  std::unordered_map<std::string, std::uint32_t> running;
+  for (const auto& [id, m] : machines_.all()) {
+    for (const auto& [key, o] : m.occupants) {
+      if (o.phase == Occupant::Phase::Present && o.state == TaskState::Running) {
+        ++running[key.task.job];
       }
     }
-    if (job.done_count > 0 || running > 0) out.push_back({id, job.done_count, running});
+  }
+  std::vector<JobCounts> out;
+  for (const auto& [id, job] : jobs_.all()) {
+    const auto it = running.find(id);
+    const auto n = it == running.end() ? 0 : it->second;
+    if (job.done_count > 0 || n > 0) out.push_back({id, job.done_count, n});
   }
   return out;
 }
 
+double Fleet::loss_rate(const Machine& m) const {
+  const auto now = runtime_.now();
+  // Looked up for every start: counted anew only now and then.
+  if (sizes_.empty() || now - sizes_at_ > kSizesEvery) {
+    sizes_ = group_sizes();
+    sizes_at_ = now;
+  }
+  const auto n = sizes_.find({m.zone, m.spot});
+  return losses_.rate({m.zone, m.spot}, n == sizes_.end() ? 1 : n->second, now);
+}
+
 }  // namespace asterstair::fleet
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 #include "base/runtime.hpp"
 #include "base/settings.hpp"
@@ -63,6 +64,8 @@
   const sched::LossRates& losses() const { return losses_; }
   std::vector<JobCounts> counts() const;
   std::map<std::pair<std::string, bool>, std::size_t> group_sizes() const;
+  // Losses a second of this machine, as its zone and kind have had them.
+  double loss_rate(const Machine& machine) const;
 
   // Wanted by the autoscaler: no new work for the machine; what is on it ends or is stopped.
   void drain(const std::string& machine);
@@ -95,17 +98,17 @@
   void on_exit(Machine& machine, const Occupant& occupant);
   void on_error(Machine& machine, Job& job);
   void on_gone(Machine& machine, const Occupant& occupant, bool lost);
-  void stop_occupant(Occupant& occupant, Seconds grace);
+  void stop_occupant(Machine& machine, Occupant& occupant, Seconds grace);
   void release_plans();
   void write_own(wire::Txn txn, store::Urgency urgency, std::function<void(bool)> done);
   void check_gangs();
-  void check_notices();
+  void check_notice(Machine& machine);
   void send_direct(const std::vector<std::pair<std::string, Command>>& stops);
   void plan();
-  sched::Snapshot snapshot(std::vector<std::string>& machine_ids,
-                           std::vector<std::string>& job_ids);
-  void preempt(sched::Snapshot& snapshot, const sched::Plan& plan,
-               const std::vector<std::string>& machine_ids);
+  // Its refs are places in planned_machines_ and planned_jobs_, which hold until the next one.
+  sched::Snapshot snapshot();
+  void refresh(Machine& machine);
+  void preempt(sched::Snapshot& snapshot, sched::Plan& plan);
   std::vector<Command> commands_for(Machine& machine, std::uint64_t seq);
   bool can_move(const Machine& machine) const;
   double slack_of(const Job& job, Seconds remaining) const;
@@ -122,7 +125,7 @@
   const cloud::Catalog& catalog_;
 
   std::uint64_t token_ = 0, attempts_ = 0;
-  TimePoint elected_at_{}, view_at_{}, last_plan_{};
+  TimePoint elected_at_{}, view_at_{}, next_plan_{}, next_preempt_{};
   bool stopped_ = false, loaded_ = false, settled_ = false, plan_wanted_ = false;
   std::uint64_t live_revision_ = 0;
   Jobs jobs_;
@@ -134,6 +137,11 @@
   std::set<std::string> roster_waiting_;
   bool roster_writing_ = false;
   sched::LossRates losses_;
+  mutable std::map<std::pair<std::string, bool>, std::size_t> sizes_;
+  mutable TimePoint sizes_at_{};
+  std::map<std::string, sched::Use> team_use_;  // the sum of what the machines hold
+  std::vector<Machine*> planned_machines_;
+  std::vector<Job*> planned_jobs_;
   std::vector<Demand> demand_;
   std::deque<Arrival> arrivals_;  // within kArrivalWindow
 };
--- a/src/fleet/gangs.cpp
+++ b/src/fleet/gangs.cpp
@@ -20,11 +20,11 @@
     for (const auto& [index, placed] : job.placed) {
       Machine* m = machines_.find(placed.machine);
       if (m == nullptr) continue;
-      const auto it = m->occupants.find({TaskId{id, index}, placed.attempt});
-      if (it == m->occupants.end() || it->second.stop) continue;
-      stop_occupant(it->second, Seconds(0));
-      if (it->second.phase == Occupant::Phase::Present) {
-        direct.emplace_back(m->id, Command{Command::Op::Stop, it->second.task, placed.attempt});
+      Occupant* o = m->occupant({id, index}, placed.attempt);
+      if (o == nullptr || o->stop) continue;
+      stop_occupant(*m, *o, Seconds(0));
+      if (o->phase == Occupant::Phase::Present) {
+        direct.emplace_back(m->id, Command{Command::Op::Stop, o->task, placed.attempt});
       }
     }
   }
@@ -46,40 +46,41 @@
   }
 }
 
-void Fleet::check_notices() {
+void Fleet::check_notice(Machine& m) {
+  // A drained machine's tasks may end by themselves.
+  if (!m.goes_at && !m.faulty) return;
   const auto now = runtime_.now();
   std::vector<std::pair<std::string, Command>> direct;
-  for (auto& [mid, m] : machines_.all()) {
-    if (!m.goes_at && !m.draining && !m.faulty) continue;
-    const Seconds left = m.goes_at ? Seconds(*m.goes_at - now) : Seconds(3600);
-    for (auto& [key, o] : m.occupants) {
-      if (o.phase != Occupant::Phase::Present || o.stop || !o.job) continue;
-      if (!m.goes_at && !m.faulty) continue;  // a drained machine's tasks may end by themselves
-      const auto& job = *o.job;
-      const bool saves =
-          job.checkpoint.count() > 0 && sched::final_save_fits(job.save, kRestartTime, left);
-      if (!saves) {
-        // What cannot be saved and will not end in time is lost anyway; elsewhere at once is
-        // better than after the machine's lease has run out.
-        const Seconds ran =
-            o.running_since == TimePoint{} ? Seconds(0) : Seconds(now - o.running_since);
-        if (!m.goes_at || job.estimate - ran <= left * kEndsInTime) continue;
-      }
-      Job* live = jobs_.find(o.task.job);
-      if (live == nullptr) continue;
-      // The whole gang is told at once, wherever its tasks are.
-      for (const auto& [index, placed] : live->placed) {
-        if (!job.gang() && index != o.task.index) continue;
-        Machine* other = machines_.find(placed.machine);
-        if (other == nullptr) continue;
-        const auto it = other->occupants.find({TaskId{o.task.job, index}, placed.attempt});
-        if (it == other->occupants.end() || it->second.stop) continue;
-        const Seconds grace = saves ? job.save + Seconds(settings_.gang_peer) : Seconds(0);
-        stop_occupant(it->second, grace);
-        if (job.gang() && job.tasks > 1) {
-          direct.emplace_back(placed.machine,
-                              Command{Command::Op::Stop, it->second.task, placed.attempt, grace});
-        }
+  const Seconds left = m.goes_at ? Seconds(*m.goes_at - now) : Seconds(3600);
+  for (auto& [key, o] : m.occupants) {
+    if (o.phase != Occupant::Phase::Present || o.stop || !o.job) continue;
+    const auto& job = *o.job;
+    const bool saves =
+        job.checkpoint.count() > 0 && sched::final_save_fits(job.save, kRestartTime, left);
+    if (!saves) {
+      // What cannot be saved and will not end in time is lost anyway; elsewhere at once is
+      // better than after the machine's lease has run out.
+      const Seconds ran =
+          o.running_since == TimePoint{} ? Seconds(0) : Seconds(now - o.running_since);
+      if (!m.goes_at || job.estimate - ran <= left * kEndsInTime) continue;
+    }
+    const Seconds grace = saves ? job.save + Seconds(settings_.gang_peer) : Seconds(0);
+    if (!job.gang()) {
+      stop_occupant(m, o, grace);
+      continue;
+    }
+    Job* live = jobs_.find(o.task.job);
+    if (live == nullptr) continue;
+    // The whole gang is told at once, wherever its tasks are.
+    for (const auto& [index, placed] : live->placed) {
+      Machine* other = machines_.find(placed.machine);
+      Occupant* peer =
+          other == nullptr ? nullptr : other->occupant({o.task.job, index}, placed.attempt);
+      if (peer == nullptr || peer->stop) continue;
+      stop_occupant(*other, *peer, grace);
+      if (job.tasks > 1) {
+        direct.emplace_back(placed.machine,
+                            Command{Command::Op::Stop, peer->task, placed.attempt, grace});
       }
     }
   }
--- a/src/fleet/jobs.cpp
+++ b/src/fleet/jobs.cpp
@@ -16,6 +16,7 @@
   job.version = version;
   job.accepted = accepted;
   job.done.assign(spec.tasks, false);
+  job.durable = job.done;
   job.spec = std::make_shared<const JobSpec>(std::move(spec));
   rebuild_waiting(job);
   return job;
--- a/src/fleet/jobs.hpp
+++ b/src/fleet/jobs.hpp
@@ -21,7 +21,7 @@
   JobSpecPtr spec;
   std::uint64_t version = 0;  // of the live record
   WallTime accepted{};
-  std::vector<bool> done;
+  std::vector<bool> done, durable;
   std::uint32_t done_count = 0;
   std::vector<std::uint32_t> waiting;  // neither done nor placed
   std::unordered_map<std::uint32_t, Placed> placed;
--- a/src/fleet/loading.cpp
+++ b/src/fleet/loading.cpp
@@ -76,6 +76,7 @@
       } catch (const wire::BadMessage& e) {
         log::error("progress of {} is malformed: {}", key->first, e.what());
       }
+      job->durable = job->done;
       job->begun = job->begun_before = true;
     }
     for (auto& [id, job] : f->jobs_.all()) {
@@ -177,8 +178,7 @@
   for (const auto& [index, placed] : job->placed) {
     Machine* m = machines_.find(placed.machine);
     if (m == nullptr) continue;
-    const auto it = m->occupants.find({TaskId{id, index}, placed.attempt});
-    if (it != m->occupants.end()) stop_occupant(it->second, Seconds(0));
+    if (Occupant* o = m->occupant({id, index}, placed.attempt)) stop_occupant(*m, *o, Seconds(0));
   }
   log::info("job {} of {} ended after {:.1f} s, {} of {} tasks done", id, job->spec->job_class,
             age_of(*job).count(), job->done_count, job->spec->tasks);
--- a/src/fleet/machines.cpp
+++ b/src/fleet/machines.cpp
@@ -9,6 +9,36 @@
                      [](const auto& o) { return o.second.holds_room(); });
 }
 
+Occupant* Machine::occupant(const TaskId& task, std::uint64_t attempt) {
+  const auto it = occupants.find({attempt, task});
+  return it == occupants.end() ? nullptr : &it->second;
+}
+
+Holding Machine::count_holding() const {
+  Holding out;
+  for (const auto& [key, o] : occupants) {
+    if (!o.holds_room()) continue;
+    if (!o.job) {
+      out.unknown = true;
+      continue;
+    }
+    const JobSpec& job = *o.job;
+    out.used.add(job);
+    if (o.stop) out.freeing.add(job);
+    auto team = std::find_if(out.teams.begin(), out.teams.end(),
+                             [&](const auto& t) { return t.first == job.team; });
+    if (team == out.teams.end()) team = out.teams.insert(team, {job.team, {}});
+    team->second.add(job);
+    if (job.one_zone || job.spread) {
+      auto zoned = std::find_if(out.zoned.begin(), out.zoned.end(),
+                                [&](const auto& z) { return z.first == o.job; });
+      if (zoned == out.zoned.end()) zoned = out.zoned.insert(zoned, {o.job, 0});
+      ++zoned->second;
+    }
+  }
+  return out;
+}
+
 void Machine::use_image(const JobSpec& job, double cache_gb) {
   const auto it = std::find_if(image_use.begin(), image_use.end(),
                                [&](const auto& i) { return i.first == job.image; });
@@ -40,6 +70,7 @@
                       o});
   }
   m.occupants.clear();
+  m.changed = true;
 }
 
 Machines::Order Machines::apply(const WorkerReport& r, TimePoint now, double cache_gb,
@@ -65,12 +96,11 @@
     m.goes_at.reset();
   }
 
-  std::set<std::pair<TaskId, std::uint64_t>> seen;
+  m.changed = m.changed || !r.tasks.empty() || !m.occupants.empty();
   for (const auto& t : r.tasks) {
-    const auto key = std::pair(t.task, t.attempt);
-    seen.insert(key);
-    const auto [it, adopted] = m.occupants.try_emplace(key);
+    const auto [it, adopted] = m.occupants.try_emplace({t.attempt, t.task});
     Occupant& o = it->second;
+    o.seen_seq = r.seq;
     const auto before = o.phase;
     if (adopted) {
       o.task = t.task;
@@ -103,7 +133,7 @@
   }
   for (auto it = m.occupants.begin(); it != m.occupants.end();) {
     const Occupant& o = it->second;
-    if (seen.count(it->first) != 0 || o.phase == Occupant::Phase::Planned) {
+    if (o.seen_seq == r.seq || o.phase == Occupant::Phase::Planned) {
       ++it;
       continue;
     }
--- a/src/fleet/machines.hpp
+++ b/src/fleet/machines.hpp
@@ -10,6 +10,7 @@
 
 #include "base/model.hpp"
 #include "base/time.hpp"
+#include "sched/planner.hpp"
 
 namespace asterstair::fleet {
 
@@ -28,7 +29,7 @@
   TaskState state = TaskState::Fetching;
   ExitCause cause = ExitCause::None;
   bool saved = false;
-  std::uint64_t ordered_seq = 0;
+  std::uint64_t ordered_seq = 0, seen_seq = 0;
   TimePoint planned_at{}, running_since{};
   bool stop = false;
   Seconds grace{0};
@@ -37,6 +38,21 @@
   bool holds_room() const { return phase != Phase::Exited; }
 };
 
+// Attempts come first: they differ almost always, and comparing them costs least.
+struct OccupantKey {
+  std::uint64_t attempt = 0;
+  TaskId task;
+  auto operator<=>(const OccupantKey&) const = default;
+};
+
+// What a machine's occupants hold, by team, and where it matters by job.
+struct Holding {
+  sched::Use used, freeing;  // freeing: the part held by tasks that have been told to stop
+  bool unknown = false;      // a task of a job this node knows nothing of
+  std::vector<std::pair<std::string, sched::Use>> teams;
+  std::vector<std::pair<JobSpecPtr, std::uint32_t>> zoned;  // jobs with rules on zones
+};
+
 struct Machine {
   std::string id, address, type, zone;
   bool spot = false;
@@ -52,12 +68,16 @@
   std::set<std::string> failed_jobs;  // since its last success
   std::uint32_t failures = 0;
   TimePoint idle_since{};
-  std::map<std::pair<TaskId, std::uint64_t>, Occupant> occupants;
+  std::map<OccupantKey, Occupant> occupants;
+  Holding holding;       // as of the last look at the occupants
+  bool changed = false;  // the occupants have, since then
   // Images seen here, the latest used last.
   std::list<std::pair<std::string, double>> image_use;
   std::set<std::string> images;
 
   bool holds_tasks() const;
+  Occupant* occupant(const TaskId& task, std::uint64_t attempt);
+  Holding count_holding() const;
   void use_image(const JobSpec& job, double cache_gb);
 };
 
--- a/src/fleet/moving.cpp
+++ b/src/fleet/moving.cpp
@@ -46,8 +46,7 @@
 
 void Fleet::consolidate(const std::function<bool(const Machine&)>& spare) {
   if (!settled_ || !election_.entitled() || !demand_.empty()) return;
-  std::vector<std::string> machine_ids, job_ids;
-  const auto s = snapshot(machine_ids, job_ids);
+  const auto s = snapshot();
   if (!s.jobs.empty()) return;
   std::vector<const sched::PlanMachine*> by_price;
   for (const auto& m : s.machines) by_price.push_back(&m);
@@ -55,7 +54,7 @@
     return std::pair(a->price(), a->ref) > std::pair(b->price(), b->ref);
   });
   for (const auto* from : by_price) {
-    Machine& m = *machines_.find(machine_ids[from->ref]);
+    Machine& m = *planned_machines_[from->ref];
     if (from->empty() || !can_move(m) || !spare(m)) continue;
     auto others = s.machines;
     bool fits = true;
@@ -77,7 +76,7 @@
     m.draining = true;
     for (auto& [key, o] : m.occupants) {
       if (o.holds_room() && o.job->checkpoint.count() > 0) {
-        stop_occupant(o, o.job->save + Seconds(settings_.gang_peer));
+        stop_occupant(m, o, o.job->save + Seconds(settings_.gang_peer));
       }
     }
     return;
@@ -91,6 +90,7 @@
   machines_.clear(*m, events);
   m->silent = true;
   handle(*m, events);
+  refresh(*m);
   machines_.erase(id);
   check_settled();
 }
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -6,50 +6,69 @@
 #include "fleet/fleet.hpp"
 
 namespace asterstair::fleet {
+namespace {
 
-sched::Snapshot Fleet::snapshot(std::vector<std::string>& machine_ids,
-                                std::vector<std::string>& job_ids) {
+// Plans follow one another no faster than this, and take up no more than a share of the processor
+// that the settings grant. What a step costs was measured with tests/load/profile.sh.
+constexpr Duration kPlanEvery = 60ms;
+constexpr Duration kStepCost = 40ns;
+constexpr double kPlanShare = 0.25;
+constexpr auto kPreemptEvery = 300ms;
+
+}  // namespace
+
+// Takes over what has changed on the machine since the last look.
+void Fleet::refresh(Machine& m) {
+  if (!m.changed) return;
+  m.changed = false;
+  for (const auto& [team, use] : m.holding.teams) team_use_[team].add(use, -1);
+  m.holding = m.count_holding();
+  for (const auto& [team, use] : m.holding.teams) team_use_[team].add(use);
+}
+
+sched::Snapshot Fleet::snapshot() {
   sched::Snapshot s;
   const auto now = runtime_.now();
-  for (const auto& [name, t] : settings_.teams) {
-    s.teams[name] = {{}, t.cpus, t.gpus, t.cpus_max, t.gpus_max};
-  }
-  const auto sizes = group_sizes();
-  std::map<std::string, std::map<std::string, std::uint32_t>> in_zone;  // of jobs that care
-  for (const auto& [id, m] : machines_.all()) {
-    sched::PlanMachine p;
+  planned_machines_.clear();
+  planned_jobs_.clear();
+  std::unordered_map<std::string, std::map<std::string, std::uint32_t>> in_zone;
+  s.machines.reserve(machines_.all().size());
+  for (auto& [id, m] : machines_.all()) {
+    refresh(m);
+    for (const auto& [job, n] : m.holding.zoned) in_zone[job->id][m.zone] += n;
     const auto* type = catalog_.find(m.type);
-    if (type != nullptr) p.free = {type->cpus, type->gpus, type->memory_gb};
-    bool unknown_task = false;
-    for (const auto& [key, o] : m.occupants) {
-      if (!o.holds_room()) continue;
-      if (!o.job) {
-        unknown_task = true;
-        continue;
-      }
-      p.free.add(*o.job, -1);
-      s.teams[o.job->team].used.add(*o.job);
-      if (o.job->one_zone || o.job->spread) ++in_zone[o.job->id][m.zone];
-    }
-    if (type == nullptr || unknown_task || !usable(m)) continue;
-    p.ref = machine_ids.size();
+    if (type == nullptr || m.holding.unknown || !usable(m)) continue;
+    sched::PlanMachine p;
+    p.free = {type->cpus, type->gpus, type->memory_gb};
+    p.free.add(m.holding.used, -1);
+    p.freeing = m.holding.freeing;
+    p.ref = planned_machines_.size();
     p.type = type;
     p.zone = m.zone;
     p.spot = m.spot;
     p.images = &m.images;
-    p.loss_rate = losses_.rate({m.zone, m.spot}, sizes.at({m.zone, m.spot}), now);
-    machine_ids.push_back(id);
+    planned_machines_.push_back(&m);
     s.machines.push_back(std::move(p));
   }
-  std::vector<const Job*> by_arrival;
-  for (const auto& [id, job] : jobs_.all()) by_arrival.push_back(&job);
+  std::map<std::pair<std::string, bool>, double> rates;
+  for (std::size_t i = 0; i < s.machines.size(); ++i) {
+    auto& p = s.machines[i];
+    const auto [it, added] = rates.try_emplace({p.zone, p.spot}, 0.0);
+    if (added) it->second = loss_rate(*planned_machines_[i]);
+    p.loss_rate = it->second;
+  }
+  for (const auto& [name, t] : settings_.teams) {
+    s.teams[name] = {team_use_[name], t.cpus, t.gpus, t.cpus_max, t.gpus_max};
+  }
+  std::vector<Job*> by_arrival;
+  by_arrival.reserve(jobs_.all().size());
+  for (auto& [id, job] : jobs_.all()) by_arrival.push_back(&job);
   std::sort(by_arrival.begin(), by_arrival.end(), [](const Job* a, const Job* b) {
     return std::tie(a->accepted, a->spec->id) < std::tie(b->accepted, b->spec->id);
   });
   sched::Guarantees guarantees(s.teams);
-  for (const Job* arrived : by_arrival) {
+  for (Job* arrived : by_arrival) {
     const Job& job = *arrived;
-    const std::string& id = job.spec->id;
     const bool guaranteed = guarantees.next(*job.spec, job.unfinished());
     if (job.waiting.empty() || now < job.not_before || job.ending) continue;
     // Until all machines have been heard from, tasks that nobody reported may run anywhere.
@@ -61,17 +80,17 @@
     // All of a gang or nothing, and nothing while an old attempt is anywhere.
     if (job.spec->gang() && job.waiting.size() != job.spec->tasks) continue;
     sched::PlanJob p;
-    p.ref = job_ids.size();
+    p.ref = planned_jobs_.size();
     p.job = job.spec.get();
     p.waiting = static_cast<std::uint32_t>(job.waiting.size());
-    if (const auto it = in_zone.find(id); it != in_zone.end()) p.in_zone = it->second;
+    if (const auto it = in_zone.find(job.spec->id); it != in_zone.end()) p.in_zone = it->second;
     p.last_zone = job.last_zone;
     p.remaining = remaining_of(job);
     p.waited = age_of(job);
     p.guaranteed = guaranteed;
     p.slack = slack_of(job, p.remaining);
     p.work = p.remaining * static_cast<double>(job.unfinished());
-    job_ids.push_back(id);
+    planned_jobs_.push_back(arrived);
     s.jobs.push_back(std::move(p));
   }
   return s;
@@ -80,24 +99,24 @@
 void Fleet::plan() {
   if (!loaded_ || !election_.entitled() || !view_fresh() || !catalog_.known()) return;
   plan_wanted_ = false;
-  last_plan_ = runtime_.now();
-  std::vector<std::string> machine_ids, job_ids;
-  auto s = snapshot(machine_ids, job_ids);
+  const auto now = runtime_.now();
+  auto s = snapshot();
   // Machines a job failed on are left out for it while others may do.
   std::vector<std::set<std::size_t>> avoid(s.jobs.size());
   for (std::size_t i = 0; i < s.jobs.size(); ++i) {
-    const Job* job = jobs_.find(job_ids[i]);
+    const Job* job = planned_jobs_[i];
     if (job->failed_on.empty() || job->failed_on.size() >= kBadJobMachines) continue;
-    for (std::size_t m = 0; m < machine_ids.size(); ++m) {
-      if (job->failed_on.count(machine_ids[m]) != 0) avoid[i].insert(m);
+    for (std::size_t m = 0; m < planned_machines_.size(); ++m) {
+      if (job->failed_on.count(planned_machines_[m]->id) != 0) avoid[i].insert(m);
     }
     s.jobs[i].avoid = &avoid[i];
   }
-  const auto plan = sched::plan(s, runtime_.rng());
+  auto plan = sched::plan(s, runtime_.rng());
   std::map<std::string, std::uint64_t> gang_attempts;
   for (const auto& p : plan.placements) {
-    Job& job = *jobs_.find(job_ids[p.job]);
-    Machine& m = *machines_.find(machine_ids[p.machine]);
+    Job& job = *planned_jobs_[p.job];
+    Machine& m = *planned_machines_[p.machine];
+    m.changed = true;
     for (std::uint32_t n = 0; n < p.tasks; ++n) {
       // Numbers from the token and a counter are never used twice, by any leader.
       constexpr unsigned kCounterBits = 24;
@@ -115,8 +134,8 @@
       o.task = {job.spec->id, index};
       o.attempt = attempt;
       o.job = job.spec;
-      o.planned_at = last_plan_;
-      m.occupants.emplace(std::pair(o.task, attempt), std::move(o));
+      o.planned_at = now;
+      m.occupants.emplace(OccupantKey{attempt, o.task}, std::move(o));
     }
   }
   demand_.clear();
@@ -132,25 +151,33 @@
     }
     if (n < 1) continue;
     demand_.push_back(
-        {jobs_.find(job_ids[i])->spec, static_cast<std::uint32_t>(n), j.remaining, j.slack});
+        {planned_jobs_[i]->spec, static_cast<std::uint32_t>(n), j.remaining, j.slack});
   }
-  if (!plan.unplaced.empty()) preempt(s, plan, machine_ids);
+  if (!plan.unplaced.empty() && now >= next_preempt_) {
+    next_preempt_ = now + kPreemptEvery;
+    preempt(s, plan);
+  }
+  const auto cost = kStepCost * static_cast<std::int64_t>(plan.steps);
+  next_plan_ =
+      now + std::max(kPlanEvery, to_duration(Seconds(cost) / settings_.cpu_share / kPlanShare));
 }
 
-void Fleet::preempt(sched::Snapshot& s, const sched::Plan& plan,
-                    const std::vector<std::string>& machine_ids) {
+void Fleet::preempt(sched::Snapshot& s, sched::Plan& plan) {
+  // Worth a look only if some of the work may stop some of the rest.
+  auto highest = Priority::Low;
+  bool guaranteed = false;
+  for (const auto& [i, left] : plan.unplaced) {
+    highest = std::max(highest, s.jobs[i].job->priority);
+    guaranteed = guaranteed || s.jobs[i].guaranteed;
+  }
   std::vector<sched::PlanVictim> victims;
-  std::vector<std::pair<std::string, std::pair<TaskId, std::uint64_t>>> refs;
+  std::vector<std::pair<Machine*, Occupant*>> refs;
   const auto now = runtime_.now();
   for (std::size_t i = 0; i < s.machines.size(); ++i) {
-    auto& machine = s.machines[i];
-    Machine& m = *machines_.find(machine_ids[machine.ref]);
+    Machine& m = *planned_machines_[s.machines[i].ref];
     for (auto& [key, o] : m.occupants) {
-      if (!o.holds_room() || !o.job) continue;
-      if (o.stop) {
-        machine.free.add(*o.job);  // on its way out
-        continue;
-      }
+      if (!o.holds_room() || !o.job || o.stop) continue;
+      if (!guaranteed && o.job->priority >= highest) continue;
       if (o.phase == Occupant::Phase::Ordered || (o.job->gang() && o.job->tasks > 1)) continue;
       double lost = 0;
       if (o.running_since != TimePoint{}) {
@@ -158,15 +185,16 @@
         if (o.job->checkpoint.count() > 0) lost = o.job->save.count();
       }
       victims.push_back({i, refs.size(), o.job.get(), lost});
-      refs.emplace_back(m.id, key);
+      refs.emplace_back(&m, &o);
     }
   }
-  for (const auto ref : sched::preempt(s, plan, victims)) {
-    const auto& [mid, key] = refs[ref];
-    Occupant& o = machines_.find(mid)->occupants.at(key);
-    log::debug("{}/{} on {} makes room", o.task.job, o.task.index, mid);
+  plan.steps += victims.size();
+  for (const auto ref : sched::preempt(s, plan, victims, runtime_.rng())) {
+    const auto& [m, o] = refs[ref];
+    log::debug("{}/{} on {} makes room", o->task.job, o->task.index, m->id);
     stop_occupant(
-        o, o.job->checkpoint.count() > 0 ? o.job->save + Seconds(settings_.gang_peer) : Seconds(0));
+        *m, *o,
+        o->job->checkpoint.count() > 0 ? o->job->save + Seconds(settings_.gang_peer) : Seconds(0));
   }
 }
 
--- a/src/fleet/reports.cpp
+++ b/src/fleet/reports.cpp
@@ -16,7 +16,6 @@
 constexpr auto kFailedPause = 10s;            // of a machine whose last task failed
 constexpr std::uint32_t kFaultyJobs = 2;      // failures of so many jobs: the machine is at fault
 constexpr std::uint32_t kFaultyFailures = 6;  // or so many in a row
-constexpr auto kPlanEvery = 40ms;             // at most, while reports pour in
 constexpr auto kBackoffFirst = 4s, kBackoffMost = 60s;
 
 const char* cause_word(ExitCause c) {
@@ -62,16 +61,15 @@
   }
   if (!m.rostered) roster_waiting_.insert(m.id);
   handle(m, events);
-  check_notices();
+  check_notice(m);
   if (!settled_) check_settled();
-  if (plan_wanted_ && now - last_plan_ >= kPlanEvery) plan();
+  if (plan_wanted_ && now >= next_plan_) plan();
   return {200, wire::encode_commands(token_, commands_for(m, r.seq))};
 }
 
 void Fleet::handle(Machine& m, const Events& events) {
   for (const auto& e : events) {
     const Occupant& o = e.occupant;
-    const auto key = std::pair(o.task, o.attempt);
     plan_wanted_ = true;
     switch (e.kind) {
       case TaskEvent::Kind::Started: {
@@ -83,12 +81,12 @@
         break;
       }
       case TaskEvent::Kind::Adopted: {
-        Occupant& here = m.occupants.at(key);
+        Occupant& here = m.occupants.at({o.attempt, o.task});
         Job* job = jobs_.find(o.task.job);
         if (job != nullptr) here.job = job->spec;
         // A reported task whose job is not live is killed; so is one that is done or elsewhere.
         if (job == nullptr || !Jobs::place(*job, o.task.index, {m.id, o.attempt})) {
-          stop_occupant(here, Seconds(0));
+          stop_occupant(m, here, Seconds(0));
         } else {
           job->first_started = true;
         }
@@ -108,7 +106,7 @@
 }
 
 void Fleet::on_exit(Machine& m, const Occupant& o) {
-  Occupant& here = m.occupants.at({o.task, o.attempt});
+  Occupant& here = m.occupants.at({o.attempt, o.task});
   const auto now = runtime_.now();
   Job* job = jobs_.find(o.task.job);
   if (job == nullptr) {
@@ -195,8 +193,9 @@
   Jobs::unplace(*job, o.task.index, {m.id, o.attempt});
 }
 
-void Fleet::stop_occupant(Occupant& o, Seconds grace) {
+void Fleet::stop_occupant(Machine& m, Occupant& o, Seconds grace) {
   if (o.stop && o.grace <= grace) return;
+  m.changed = true;
   o.stop = true;
   o.grace = grace;
   if (o.phase == Occupant::Phase::Exited) o.forget = true;
@@ -206,17 +205,20 @@
   std::vector<Command> stops, forgets, starts;
   const bool startable = m.rostered && usable(m) && view_fresh();
   Events gone;
-  std::map<std::pair<std::string, bool>, std::size_t> sizes;
   for (auto it = m.occupants.begin(); it != m.occupants.end();) {
     Occupant& o = it->second;
     switch (o.phase) {
       case Occupant::Phase::Exited:
-        if (!o.forget && jobs_.find(o.task.job) == nullptr) o.forget = true;
+        if (!o.forget) {
+          const Job* job = jobs_.find(o.task.job);
+          // A done task is cleared once that is durable.
+          o.forget = job == nullptr || (o.cause == ExitCause::Done && job->durable[o.task.index]);
+        }
         if (o.forget) forgets.push_back({Command::Op::Forget, o.task, o.attempt});
         break;
       case Occupant::Phase::Present:
         // Nobody may run whose job is not live; looked up here so that no path can miss it.
-        if (!o.stop && jobs_.find(o.task.job) == nullptr) stop_occupant(o, Seconds(0));
+        if (!o.stop && jobs_.find(o.task.job) == nullptr) stop_occupant(m, o, Seconds(0));
         if (o.stop && !(o.state == TaskState::Saving && o.grace.count() > 0)) {
           stops.push_back({Command::Op::Stop, o.task, o.attempt, o.grace});
         }
@@ -227,20 +229,21 @@
         if (o.phase == Occupant::Phase::Planned && (o.stop || job == nullptr || !usable(m))) {
           gone.push_back({TaskEvent::Kind::NotStarted, o});
           it = m.occupants.erase(it);
+          m.changed = true;
           continue;
         }
         if (o.phase == Occupant::Phase::Planned && startable && job->begun) {
-          double rate = 0;
-          if (sizes.empty()) sizes = group_sizes();
-          for (const auto& [index, placed] : job->placed) {
-            const Machine* other = machines_.find(placed.machine);
-            if (other == nullptr || (!job->spec->gang() && index != o.task.index)) continue;
-            const auto n = sizes.find({other->zone, other->spot});
-            rate += losses_.rate({other->zone, other->spot}, n == sizes.end() ? 1 : n->second,
-                                 runtime_.now());
-          }
           Command start{Command::Op::Start, o.task, o.attempt};
           if (job->spec->checkpoint.count() > 0) {
+            double rate = 0;
+            if (job->spec->gang()) {
+              for (const auto& [index, placed] : job->placed) {
+                if (const Machine* other = machines_.find(placed.machine))
+                  rate += loss_rate(*other);
+              }
+            } else {
+              rate = loss_rate(m);
+            }
             start.interval = sched::checkpoint_interval(job->spec->save, rate, sched::kLossBudget);
           }
           starts.push_back(std::move(start));
@@ -258,7 +261,7 @@
   if (out.size() > kMostCommands) out.resize(kMostCommands);
   for (auto& c : starts) {
     if (out.size() >= kMostCommands) break;
-    Occupant& o = m.occupants.at({c.task, c.attempt});
+    Occupant& o = m.occupants.at({c.attempt, c.task});
     o.phase = Occupant::Phase::Ordered;
     o.ordered_seq = seq;
     out.push_back(std::move(c));
@@ -284,12 +287,13 @@
 // Plans for machines that have fallen silent, or were given up, go to others.
 void Fleet::release_plans() {
   for (auto& [id, m] : machines_.all()) {
-    if (usable(m)) continue;
+    if (m.occupants.empty() || usable(m)) continue;
     Events gone;
     for (auto it = m.occupants.begin(); it != m.occupants.end();) {
       if (it->second.phase == Occupant::Phase::Planned) {
         gone.push_back({TaskEvent::Kind::NotStarted, it->second});
         it = m.occupants.erase(it);
+        m.changed = true;
       } else {
         ++it;
       }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -35,7 +35,7 @@
     Node node(runtime, settings);
     net::HttpServer::Limits limits;
     // The rest is for the node's own connections: state service, cloud, siblings.
-    limits.connections = settings.max_connections * 5 / 8;
+    limits.connections = settings.max_connections * 13 / 16;
     net::HttpServer server(runtime.loop(), limits, [&](HttpRequest request, net::Respond respond) {
       node.handle(std::move(request), respond);
     });
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -27,7 +27,7 @@
 
 LoopRuntime::LoopRuntime(const Settings& settings)
     : rng_(random_seed()),
-      client_(init_loop(&loop_), settings.max_connections / 4),
+      client_(init_loop(&loop_), settings.max_connections / 8),
       peers_(&loop_, settings) {}
 
 LoopRuntime::~LoopRuntime() = default;  // the process ends by being killed; the loop never closes
--- a/src/sched/planner.cpp
+++ b/src/sched/planner.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <optional>
+#include <queue>
+#include <tuple>
 
 #include "sched/score.hpp"
 
@@ -60,148 +63,277 @@
   return there >= most ? 0 : most - there;
 }
 
+bool has_room(const JobSpec& job, const Use& free) {
+  return free.cpus + kSlack >= job.cpus && free.gpus + kSlack >= job.gpus &&
+         free.memory_gb + kSlack >= job.memory_gb;
+}
+
+// Machines of one type, zone and kind: what a job may use is decided once for all of them.
+struct Pool {
+  const MachineType* type;
+  const std::string* zone;
+  bool spot;
+  std::vector<std::size_t> machines;
+};
+
+std::vector<Pool> pools_of(const Snapshot& s) {
+  std::vector<Pool> out;
+  for (std::size_t m = 0; m < s.machines.size(); ++m) {
+    const auto& machine = s.machines[m];
+    auto it = std::find_if(out.begin(), out.end(), [&](const Pool& p) {
+      return p.type == machine.type && p.spot == machine.spot && *p.zone == machine.zone;
+    });
+    if (it == out.end()) {
+      out.push_back({machine.type, &machine.zone, machine.spot, {}});
+      it = std::prev(out.end());
+    }
+    it->machines.push_back(m);
+  }
+  return out;
+}
+
 struct Candidate {
   std::size_t machine;
   double score;
   double waste;
 };
 
-std::vector<Candidate> candidates(const Snapshot& s, std::size_t job_index, Rng& rng) {
-  const auto& j = s.jobs[job_index];
-  std::vector<std::size_t> fitting;
-  for (std::size_t m = 0; m < s.machines.size(); ++m) {
-    const auto& machine = s.machines[m];
-    if (!allowed_on(*j.job, machine) || !fits(*j.job, machine.free)) continue;
-    if (machine.reserved_for != SIZE_MAX && machine.reserved_for != job_index) continue;
-    if (j.avoid != nullptr && j.avoid->count(machine.ref) != 0) continue;
-    fitting.push_back(m);
-  }
-  if (fitting.size() > kSampleAbove) {
-    std::vector<std::size_t> sample;
-    std::sample(fitting.begin(), fitting.end(), std::back_inserter(sample), kSample, rng);
-    fitting = std::move(sample);
-  }
-  std::vector<double> delay(fitting.size());
-  double total = 0;
-  for (std::size_t i = 0; i < fitting.size(); ++i) {
-    const auto& m = s.machines[fitting[i]];
-    const bool cached = m.images != nullptr && m.images->count(j.job->image) != 0;
-    delay[i] = start_delay(j.job->image_gb, cached).count();
-    total += delay[i];
+class Planner {
+ public:
+  Planner(Snapshot& s, Rng& rng, Plan& out) : s_(s), rng_(rng), out_(out), pools_(pools_of(s)) {}
+
+  void place_array(std::size_t job_index) {
+    auto& j = s_.jobs[job_index];
+    auto fitting = fitting_for(job_index);
+    // Samples in place of a full search; further ones while tasks are left.
+    while (j.waiting > 0 && !fitting.empty()) {
+      bool took = false;
+      for (const auto& c : ranked(j, sample(fitting))) {
+        if (j.waiting == 0) break;
+        auto& machine = s_.machines[c.machine];
+        const auto n = std::min({j.waiting, room(*j.job, machine.free),
+                                 team_room(s_.teams[j.job->team], *j.job),
+                                 zone_room(j, j.in_zone, machine.zone)});
+        if (n == 0) continue;
+        take(j, c.machine, n);
+        out_.placements.push_back({j.ref, machine.ref, n});
+        took = true;
+      }
+      if (!took) break;
+    }
   }
-  std::vector<Candidate> out;
-  for (std::size_t i = 0; i < fitting.size(); ++i) {
-    const auto& m = s.machines[fitting[i]];
-    const double elsewhere =
-        fitting.size() > 1 ? (total - delay[i]) / static_cast<double>(fitting.size() - 1) : 0.0;
-    const double score =
-        placement_score(Seconds(delay[i]), m.loss_rate, j.remaining, Seconds(elsewhere));
-    // Among equals: no accelerators taken up by tasks that need none, spot machines kept for
-    // jobs that may use them, then the fullest machine, so that large tasks find room.
-    double waste = m.free.cpus;
-    if (j.job->gpus <= 0 && m.type->gpus > 0) waste += 1e4;
-    if (j.job->spot && !m.spot) waste += 1e3;
-    out.push_back({fitting[i], score, waste});
+
+  // All tasks or none.
+  void place_gang(std::size_t job_index) {
+    auto& j = s_.jobs[job_index];
+    if (team_room(s_.teams[j.job->team], *j.job) < j.waiting) return;
+    auto fitting = fitting_for(job_index);
+    const bool sampled = fitting.size() > kSampleAbove && !j.job->one_zone;
+    if (place_gang_on(j, ranked(j, sampled ? sample(fitting) : fitting)) || !sampled) return;
+    place_gang_on(j, ranked(j, fitting_for(job_index)));
   }
-  std::sort(out.begin(), out.end(), [](const Candidate& a, const Candidate& b) {
-    if (a.score != b.score) return a.score < b.score;
-    if (a.waste != b.waste) return a.waste < b.waste;
-    return a.machine < b.machine;
-  });
-  return out;
-}
 
-void take(Snapshot& s, PlanJob& j, std::size_t m, std::uint32_t tasks) {
-  auto& machine = s.machines[m];
-  machine.free.add(*j.job, -static_cast<double>(tasks));
-  s.teams[j.job->team].used.add(*j.job, tasks);
-  j.in_zone[machine.zone] += tasks;
-  j.waiting -= tasks;
-}
+  // Keeps machines for a job that found no room, so that smaller work behind it does not take
+  // every place as it comes free.
+  void reserve(std::size_t job_index) {
+    const auto& j = s_.jobs[job_index];
+    const auto team = team_room(s_.teams[j.job->team], *j.job);
+    if (j.waited < kReserveAfter || team == 0) return;
+    const std::uint32_t tasks = j.job->gang() ? j.waiting : 1;
+    if (team < tasks) return;
+    std::vector<std::size_t> usable;
+    for (const auto& p : pools_) {
+      if (!allowed(j, p) || p.type->fits(*j.job) == 0) continue;
+      for (const auto m : p.machines) {
+        if (s_.machines[m].reserved_for == SIZE_MAX) usable.push_back(m);
+      }
+    }
+    out_.steps += usable.size();
+    const auto near = [&](std::size_t m) {
+      return s_.machines[m].free.cpus + s_.machines[m].freeing.cpus;
+    };
+    std::sort(usable.begin(), usable.end(), [&](std::size_t a, std::size_t b) {
+      return std::pair(near(a), b) > std::pair(near(b), a);
+    });
+    const auto keep = [&](const std::string* zone, bool really) {
+      std::uint32_t left = tasks;
+      double free = 0;
+      auto in_zone = j.in_zone;
+      for (const auto m : usable) {
+        if (left == 0) break;
+        auto& machine = s_.machines[m];
+        if (zone != nullptr && machine.zone != *zone) continue;
+        const auto n =
+            std::min({left, machine.type->fits(*j.job), zone_room(j, in_zone, machine.zone)});
+        if (n == 0) continue;
+        in_zone[machine.zone] += n;
+        left -= n;
+        free += near(m);
+        if (really) machine.reserved_for = job_index;
+      }
+      return left == 0 ? free : -1;
+    };
+    if (!j.job->gang() || !j.job->one_zone) {
+      if (keep(nullptr, false) >= 0) keep(nullptr, true);
+      return;
+    }
+    // The zone where most of what the gang needs is free, or about to be.
+    const std::string* best = nullptr;
+    double best_free = -1;
+    std::set<std::string> zones;
+    for (const auto m : usable) zones.insert(s_.machines[m].zone);
+    for (const auto& z : zones) {
+      const double free = keep(&z, false);
+      if (free > best_free) {
+        best = &z;
+        best_free = free;
+      }
+    }
+    if (best != nullptr) keep(best, true);
+  }
 
-void place_array(Snapshot& s, std::size_t job_index, Plan& out, Rng& rng) {
-  auto& j = s.jobs[job_index];
-  for (const auto& c : candidates(s, job_index, rng)) {
-    if (j.waiting == 0) break;
-    auto& machine = s.machines[c.machine];
-    const auto n =
-        std::min({j.waiting, room(*j.job, machine.free), team_room(s.teams[j.job->team], *j.job),
-                  zone_room(j, j.in_zone, machine.zone)});
-    if (n == 0) continue;
-    take(s, j, c.machine, n);
-    out.placements.push_back({j.ref, machine.ref, n});
+ private:
+  static bool allowed(const PlanJob& j, const Pool& p) {
+    return (j.job->spot || !p.spot) && j.job->allows_type(p.type->name) &&
+           zone_room(j, j.in_zone, *p.zone) > 0;
   }
-}
 
-// All tasks or none. Same-zone machines go first when enough of them fit (paper VI-D).
-void place_gang(Snapshot& s, std::size_t job_index, Plan& out, Rng& rng) {
-  auto& j = s.jobs[job_index];
-  if (team_room(s.teams[j.job->team], *j.job) < j.waiting) return;
-  const auto all = candidates(s, job_index, rng);
-  std::vector<std::vector<Candidate>> tries;
-  if (!j.last_zone.empty()) {
-    std::vector<Candidate> local;
-    for (const auto& c : all) {
-      if (s.machines[c.machine].zone == j.last_zone) local.push_back(c);
+  std::vector<std::size_t> fitting_for(std::size_t job_index) {
+    const auto& j = s_.jobs[job_index];
+    std::vector<std::size_t> out;
+    for (const auto& p : pools_) {
+      if (!allowed(j, p)) continue;
+      out_.steps += p.machines.size();
+      for (const auto m : p.machines) {
+        const auto& machine = s_.machines[m];
+        if (!has_room(*j.job, machine.free)) continue;
+        if (machine.reserved_for != SIZE_MAX && machine.reserved_for != job_index) continue;
+        if (j.avoid != nullptr && j.avoid->count(machine.ref) != 0) continue;
+        out.push_back(m);
+      }
     }
-    if (local.size() >= kSameZoneMinimum) tries.push_back(std::move(local));
+    return out;
   }
-  if (j.job->one_zone) {
-    // By zone, best first candidate first.
-    std::vector<std::string> zones;
-    for (const auto& c : all) {
-      const auto& z = s.machines[c.machine].zone;
-      if (std::find(zones.begin(), zones.end(), z) == zones.end()) zones.push_back(z);
+
+  // Takes up to kSample machines at random out of the list; all if they are few.
+  std::vector<std::size_t> sample(std::vector<std::size_t>& from) {
+    std::vector<std::size_t> out;
+    if (from.size() <= kSampleAbove) {
+      out.swap(from);
+      return out;
     }
-    for (const auto& z : zones) {
-      std::vector<Candidate> there;
-      for (const auto& c : all) {
-        if (s.machines[c.machine].zone == z) there.push_back(c);
+    std::vector<std::size_t> rest;
+    rest.reserve(from.size() - kSample);
+    std::size_t wanted = kSample;
+    for (std::size_t i = 0; i < from.size(); ++i) {
+      const std::size_t left = from.size() - i;
+      if (std::uniform_int_distribution<std::size_t>(0, left - 1)(rng_) < wanted) {
+        out.push_back(from[i]);
+        --wanted;
+      } else {
+        rest.push_back(from[i]);
       }
-      tries.push_back(std::move(there));
     }
-  } else {
-    tries.push_back(all);
+    from.swap(rest);
+    return out;
   }
-  for (const auto& list : tries) {
-    std::uint32_t left = j.waiting;
-    auto in_zone = j.in_zone;
-    std::vector<std::pair<std::size_t, std::uint32_t>> chosen;
-    for (const auto& c : list) {
-      if (left == 0) break;
-      const auto& machine = s.machines[c.machine];
-      const auto n =
-          std::min({left, room(*j.job, machine.free), zone_room(j, in_zone, machine.zone)});
-      if (n == 0) continue;
-      in_zone[machine.zone] += n;
-      left -= n;
-      chosen.emplace_back(c.machine, n);
+
+  std::vector<Candidate> ranked(const PlanJob& j, const std::vector<std::size_t>& fitting) {
+    std::vector<double> delay(fitting.size());
+    double total = 0;
+    for (std::size_t i = 0; i < fitting.size(); ++i) {
+      const auto& m = s_.machines[fitting[i]];
+      const bool cached = m.images != nullptr && m.images->count(j.job->image) != 0;
+      delay[i] = start_delay(j.job->image_gb, cached).count();
+      total += delay[i];
     }
-    if (left > 0) continue;
-    for (const auto& [m, n] : chosen) {
-      take(s, j, m, n);
-      out.placements.push_back({j.ref, s.machines[m].ref, n});
+    std::vector<Candidate> out;
+    out.reserve(fitting.size());
+    for (std::size_t i = 0; i < fitting.size(); ++i) {
+      const auto& m = s_.machines[fitting[i]];
+      const double elsewhere =
+          fitting.size() > 1 ? (total - delay[i]) / static_cast<double>(fitting.size() - 1) : 0.0;
+      const double score =
+          placement_score(Seconds(delay[i]), m.loss_rate, j.remaining, Seconds(elsewhere));
+      // Among equals: no accelerators taken up by tasks that need none, spot machines kept for
+      // jobs that may use them, then the fullest machine, so that large tasks find room.
+      double waste = m.free.cpus;
+      if (j.job->gpus <= 0 && m.type->gpus > 0) waste += 1e4;
+      if (j.job->spot && !m.spot) waste += 1e3;
+      out.push_back({fitting[i], score, waste});
     }
-    return;
+    std::sort(out.begin(), out.end(), [](const Candidate& a, const Candidate& b) {
+      if (a.score != b.score) return a.score < b.score;
+      if (a.waste != b.waste) return a.waste < b.waste;
+      return a.machine < b.machine;
+    });
+    return out;
   }
-}
 
-// Keeps machines for a job that found no room, so that smaller work behind it does not take every
-// place as it comes free.
-void reserve(Snapshot& s, std::size_t job_index) {
-  const auto& j = s.jobs[job_index];
-  if (j.waited < kReserveAfter || team_room(s.teams[j.job->team], *j.job) == 0) return;
-  std::size_t best = SIZE_MAX;
-  for (std::size_t m = 0; m < s.machines.size(); ++m) {
-    const auto& machine = s.machines[m];
-    if (machine.reserved_for != SIZE_MAX || !allowed_on(*j.job, machine) ||
-        machine.type->fits(*j.job) == 0 || zone_room(j, j.in_zone, machine.zone) == 0) {
-      continue;
+  void take(PlanJob& j, std::size_t m, std::uint32_t tasks) {
+    auto& machine = s_.machines[m];
+    machine.free.add(*j.job, -static_cast<double>(tasks));
+    s_.teams[j.job->team].used.add(*j.job, tasks);
+    j.in_zone[machine.zone] += tasks;
+    j.waiting -= tasks;
+  }
+
+  // Same-zone machines go first when enough of them fit (paper VI-D).
+  bool place_gang_on(PlanJob& j, const std::vector<Candidate>& all) {
+    std::vector<std::vector<Candidate>> tries;
+    if (!j.last_zone.empty()) {
+      std::vector<Candidate> local;
+      for (const auto& c : all) {
+        if (s_.machines[c.machine].zone == j.last_zone) local.push_back(c);
+      }
+      if (local.size() >= kSameZoneMinimum) tries.push_back(std::move(local));
     }
-    if (best == SIZE_MAX || machine.free.cpus > s.machines[best].free.cpus) best = m;
+    if (j.job->one_zone) {
+      // By zone, best first candidate first.
+      std::vector<std::string> zones;
+      for (const auto& c : all) {
+        const auto& z = s_.machines[c.machine].zone;
+        if (std::find(zones.begin(), zones.end(), z) == zones.end()) zones.push_back(z);
+      }
+      for (const auto& z : zones) {
+        std::vector<Candidate> there;
+        for (const auto& c : all) {
+          if (s_.machines[c.machine].zone == z) there.push_back(c);
+        }
+        tries.push_back(std::move(there));
+      }
+    } else {
+      tries.push_back(all);
+    }
+    for (const auto& list : tries) {
+      std::uint32_t left = j.waiting;
+      auto in_zone = j.in_zone;
+      std::vector<std::pair<std::size_t, std::uint32_t>> chosen;
+      for (const auto& c : list) {
+        if (left == 0) break;
+        const auto& machine = s_.machines[c.machine];
+        const auto n =
+            std::min({left, room(*j.job, machine.free), zone_room(j, in_zone, machine.zone)});
+        if (n == 0) continue;
+        in_zone[machine.zone] += n;
+        left -= n;
+        chosen.emplace_back(c.machine, n);
+      }
+      if (left > 0) continue;
+      for (const auto& [m, n] : chosen) {
+        take(j, m, n);
+        out_.placements.push_back({j.ref, s_.machines[m].ref, n});
+      }
+      return true;
+    }
+    return false;
   }
-  if (best != SIZE_MAX) s.machines[best].reserved_for = job_index;
-}
+
+  Snapshot& s_;
+  Rng& rng_;
+  Plan& out_;
+  std::vector<Pool> pools_;
+};
 
 }  // namespace
 
@@ -210,7 +342,7 @@
          (!job.zone || *job.zone == machine.zone);
 }
 
-bool fits(const JobSpec& job, const Use& free) { return room(job, free) > 0; }
+bool fits(const JobSpec& job, const Use& free) { return has_room(job, free); }
 
 bool Guarantees::next(const JobSpec& job, std::uint32_t unfinished) {
   const auto team = teams_.find(job.team);
@@ -234,102 +366,183 @@
 
 Plan plan(Snapshot& s, Rng& rng) {
   Plan out;
+  out.steps = s.machines.size() + s.jobs.size();
   std::vector<std::size_t> order(s.jobs.size());
   std::iota(order.begin(), order.end(), 0);
   std::sort(order.begin(), order.end(),
             [&](std::size_t a, std::size_t b) { return precedes(s.jobs[a], s.jobs[b]); });
+  Planner planner(s, rng, out);
   std::size_t reserved = 0;
   for (const auto i : order) {
     auto& j = s.jobs[i];
     if (j.waiting == 0) continue;
     if (j.job->gang()) {
-      place_gang(s, i, out, rng);
+      planner.place_gang(i);
     } else {
-      place_array(s, i, out, rng);
+      planner.place_array(i);
     }
     if (j.waiting == 0) continue;
     out.unplaced.emplace_back(i, j.waiting);
     if (reserved < kMostReserved) {
-      reserve(s, i);
+      planner.reserve(i);
       ++reserved;
     }
   }
   return out;
 }
 
-std::vector<std::size_t> preempt(Snapshot& s, const Plan& plan,
-                                 const std::vector<PlanVictim>& victims) {
+namespace {
+
+// Where the next task of a job could go, and what stopping others for it costs.
+struct Offer {
+  std::size_t machine = 0;
+  double cost = 0;
+  std::vector<std::size_t> stop;
+  bool operator>(const Offer& o) const {
+    return std::pair(cost, machine) > std::pair(o.cost, o.machine);
+  }
+};
+
+// Makes room on one machine, task by task: what is free first, then the least work lost.
+struct MakingRoom {
+  std::size_t machine = 0;
+  Use free;
+  std::vector<std::size_t> victims;  // in the order in which they would be stopped
+  std::size_t next = 0;
+
+  std::optional<Offer> offer(const JobSpec& job, const std::vector<PlanVictim>& all) {
+    Offer out{machine, 0, {}};
+    while (!has_room(job, free)) {
+      if (next == victims.size()) return std::nullopt;
+      const auto& v = all[victims[next]];
+      free.add(*v.job);
+      out.cost += v.lost_work * (1 + v.job->cpus + kCpusPerGpu * v.job->gpus);
+      out.stop.push_back(victims[next++]);
+    }
+    free.add(job, -1);
+    return out;
+  }
+};
+
+}  // namespace
+
+std::vector<std::size_t> preempt(Snapshot& s, Plan& plan, const std::vector<PlanVictim>& victims,
+                                 Rng& rng) {
   std::vector<std::size_t> out;
   if (victims.empty()) return out;
   std::vector<std::vector<std::size_t>> on(s.machines.size());
   for (std::size_t v = 0; v < victims.size(); ++v) on[victims[v].machine].push_back(v);
   std::vector<bool> stopped(victims.size(), false);
+  for (auto& m : s.machines) m.free.add(m.freeing);
+  std::size_t looked_at = 0;
 
   for (const auto& [i, left] : plan.unplaced) {
-    auto& j = s.jobs[i];
+    const auto& j = s.jobs[i];
     auto& team = s.teams[j.job->team];
-    // A guarantee is used up by what the team has running already.
+    const auto most = team_room(team, *j.job);
+    if (most == 0 || (j.job->gang() && most < left)) continue;
     const auto may_stop = [&](const PlanVictim& v) {
       if (v.job->priority < j.job->priority) return true;
+      if (!j.guaranteed || v.job->team == j.job->team) return false;
+      // A guarantee is used up by what the team has running already.
       const auto& other = s.teams[v.job->team];
-      const bool has_guarantee = j.guaranteed &&
-                                 team.used.cpus + j.job->cpus <= team.guaranteed_cpus + kSlack &&
-                                 team.used.gpus + j.job->gpus <= team.guaranteed_gpus + kSlack;
-      const bool above =
-          (v.job->cpus > 0 && other.used.cpus - v.job->cpus >= other.guaranteed_cpus) ||
-          (v.job->gpus > 0 && other.used.gpus - v.job->gpus >= other.guaranteed_gpus);
-      return v.job->team != j.job->team && has_guarantee && above;
+      return team.used.cpus + j.job->cpus <= team.guaranteed_cpus + kSlack &&
+             team.used.gpus + j.job->gpus <= team.guaranteed_gpus + kSlack &&
+             ((v.job->cpus > 0 && other.used.cpus - v.job->cpus >= other.guaranteed_cpus) ||
+              (v.job->gpus > 0 && other.used.gpus - v.job->gpus >= other.guaranteed_gpus));
     };
-    std::uint32_t wanted = left;
-    while (wanted > 0 && team_room(team, *j.job) > 0) {
-      // The machine where the least work is lost to make room for one task.
-      std::size_t best = SIZE_MAX;
-      double best_cost = 0;
-      std::vector<std::size_t> best_set;
-      for (std::size_t m = 0; m < s.machines.size(); ++m) {
-        const auto& machine = s.machines[m];
-        if (!allowed_on(*j.job, machine) || machine.type->fits(*j.job) == 0 ||
-            zone_room(j, j.in_zone, machine.zone) == 0 ||
-            (j.avoid != nullptr && j.avoid->count(machine.ref) != 0)) {
-          continue;
-        }
-        Use free = machine.free;
-        std::vector<std::size_t> set, usable;
-        for (const auto v : on[m]) {
-          if (!stopped[v] && may_stop(victims[v])) usable.push_back(v);
-        }
-        std::sort(usable.begin(), usable.end(), [&](std::size_t a, std::size_t b) {
-          if (victims[a].job->priority != victims[b].job->priority) {
-            return victims[a].job->priority < victims[b].job->priority;
-          }
-          return victims[a].lost_work < victims[b].lost_work;
-        });
-        double cost = 0;
-        for (const auto v : usable) {
-          if (fits(*j.job, free)) break;
-          free.add(*victims[v].job);
-          cost += victims[v].lost_work * (1 + victims[v].job->cpus + 10 * victims[v].job->gpus);
-          set.push_back(v);
-        }
-        if (!fits(*j.job, free)) continue;
-        if (best == SIZE_MAX || cost < best_cost) {
-          best = m;
-          best_cost = cost;
-          best_set = std::move(set);
+    std::vector<std::size_t> candidates;
+    for (std::size_t m = 0; m < s.machines.size(); ++m) {
+      const auto& machine = s.machines[m];
+      if (machine.reserved_for != SIZE_MAX && machine.reserved_for != i) continue;
+      if (!allowed_on(*j.job, machine) || machine.type->fits(*j.job) == 0 ||
+          zone_room(j, j.in_zone, machine.zone) == 0 ||
+          (j.avoid != nullptr && j.avoid->count(machine.ref) != 0)) {
+        continue;
+      }
+      candidates.push_back(m);
+    }
+    plan.steps += s.machines.size();
+    if (candidates.size() > kSampleAbove && !j.job->one_zone) {
+      std::vector<std::size_t> sample;
+      std::sample(candidates.begin(), candidates.end(), std::back_inserter(sample), kSample, rng);
+      candidates = std::move(sample);
+    }
+    std::vector<MakingRoom> making;
+    for (const auto m : candidates) {
+      MakingRoom r{m, s.machines[m].free, {}};
+      for (const auto v : on[m]) {
+        if (!stopped[v] && may_stop(victims[v])) r.victims.push_back(v);
+      }
+      if (r.victims.empty() && !has_room(*j.job, r.free)) continue;
+      looked_at += r.victims.size();
+      std::sort(r.victims.begin(), r.victims.end(), [&](std::size_t a, std::size_t b) {
+        const auto &x = victims[a], &y = victims[b];
+        return std::tuple(x.job->priority, x.lost_work, a) <
+               std::tuple(y.job->priority, y.lost_work, b);
+      });
+      making.push_back(std::move(r));
+    }
+    // The cheapest offers for `wanted` tasks on machines of the zone, or of any.
+    struct Choice {
+      std::vector<Offer> offers;
+      double cost = 0;
+    };
+    const auto choose = [&](const std::string* zone, std::uint32_t wanted) {
+      Choice choice;
+      std::priority_queue<Offer, std::vector<Offer>, std::greater<>> queue;
+      auto local = making;
+      std::vector<std::size_t> at(s.machines.size(), SIZE_MAX);
+      for (std::size_t r = 0; r < local.size(); ++r) {
+        if (zone != nullptr && s.machines[local[r].machine].zone != *zone) continue;
+        at[local[r].machine] = r;
+        if (auto o = local[r].offer(*j.job, victims)) queue.push(std::move(*o));
+      }
+      auto in_zone = j.in_zone;
+      while (wanted > 0 && !queue.empty()) {
+        Offer o = queue.top();
+        queue.pop();
+        const auto& z = s.machines[o.machine].zone;
+        if (zone_room(j, in_zone, z) == 0) continue;
+        ++in_zone[z];
+        --wanted;
+        if (auto more = local[at[o.machine]].offer(*j.job, victims)) queue.push(std::move(*more));
+        choice.cost += o.cost;
+        choice.offers.push_back(std::move(o));
+      }
+      return choice;
+    };
+    const std::uint32_t wanted = std::min(left, most);
+    Choice best;
+    if (j.job->one_zone && j.in_zone.empty()) {
+      std::set<std::string> zones;
+      for (const auto& r : making) zones.insert(s.machines[r.machine].zone);
+      for (const auto& z : zones) {
+        auto choice = choose(&z, wanted);
+        if (choice.offers.size() > best.offers.size() ||
+            (choice.offers.size() == best.offers.size() && choice.cost < best.cost)) {
+          best = std::move(choice);
         }
       }
-      if (best == SIZE_MAX) break;
-      for (const auto v : best_set) {
+    } else {
+      best = choose(nullptr, wanted);
+    }
+    if (j.job->gang() && best.offers.size() < left) continue;
+    for (const auto& o : best.offers) {
+      auto& machine = s.machines[o.machine];
+      for (const auto v : o.stop) {
+        // Judged anew: what was stopped before counts.
+        if (!may_stop(victims[v])) continue;
         stopped[v] = true;
-        s.machines[best].free.add(*victims[v].job);
+        machine.free.add(*victims[v].job);
         s.teams[victims[v].job->team].used.add(*victims[v].job, -1);
         out.push_back(victims[v].ref);
       }
-      s.machines[best].free.add(*j.job, -1);
+      machine.free.add(*j.job, -1);
       team.used.add(*j.job);
-      --wanted;
     }
   }
+  plan.steps += looked_at / 4;
   return out;
 }
 
--- a/src/sched/planner.hpp
+++ b/src/sched/planner.hpp
@@ -14,6 +14,11 @@
 
 struct Use {
   double cpus = 0, gpus = 0, memory_gb = 0;
+  void add(const Use& other, double times = 1) {
+    cpus += other.cpus * times;
+    gpus += other.gpus * times;
+    memory_gb += other.memory_gb * times;
+  }
   void add(const JobSpec& job, double tasks = 1) {
     cpus += job.cpus * tasks;
     gpus += job.gpus * tasks;
@@ -27,6 +32,7 @@
   std::string zone;
   bool spot = false;
   Use free;
+  Use freeing;  // held by tasks that have been told to stop
   double loss_rate = 0;
   const std::set<std::string>* images = nullptr;  // cached
   std::size_t reserved_for = SIZE_MAX;            // job kept room for, see plan()
@@ -90,6 +96,8 @@
   std::vector<Placement> placements;
   // Jobs that found no room, in order, with the number of tasks left.
   std::vector<std::pair<std::size_t, std::uint32_t>> unplaced;  // index into jobs
+  // Machines looked at, for spacing plans by what they cost: a count, so that runs repeat.
+  std::size_t steps = 0;
 };
 
 // Whether the job precedes the other: guarantees, priority, then those that can still be in time,
@@ -103,8 +111,9 @@
 // Changes the snapshot's free room and use as it places.
 Plan plan(Snapshot& snapshot, Rng& rng);
 
-// What to stop for the waiting work that found no room, as PROTOCOL's "Preemption" allows.
-std::vector<std::size_t> preempt(Snapshot& snapshot, const Plan& plan,
-                                 const std::vector<PlanVictim>& victims);
+// What to stop for the waiting work that found no room, as PROTOCOL's "Preemption" allows. For a
+// gang nothing is stopped unless all its tasks find room.
+std::vector<std::size_t> preempt(Snapshot& snapshot, Plan& plan,
+                                 const std::vector<PlanVictim>& victims, Rng& rng);
 
 }  // namespace asterstair::sched
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -1,6 +1,9 @@
 #include "wire/worker.hpp"
 
+#include <fmt/format.h>
+
 #include <charconv>
+#include <cmath>
 
 #include "wire/names.hpp"
 #include "wire/user.hpp"
@@ -35,10 +38,7 @@
   throw BadMessage("unknown task state " + word);
 }
 
-ExitCause decode_cause(const Json& task) {
-  const Json* v = optional_member(task, name::kCause);
-  if (v == nullptr || !v->is_string()) return ExitCause::None;
-  const auto& word = v->get_ref<const std::string&>();
+ExitCause decode_cause(const std::string& word) {
   if (word == "done") return ExitCause::Done;
   if (word == "halted") return ExitCause::Stopped;
   if (word == "peers") return ExitCause::Peers;
@@ -50,6 +50,158 @@
   return ExitCause::None;
 }
 
+// Reads a report as it is parsed, without building a tree of it first: reports are by far the most
+// of what a leader reads.
+class ReportReader : public nlohmann::json_sax<Json> {
+ public:
+  bool complete() const { return done_ && seen_ == kAllSeen; }
+  std::string trouble() const { return trouble_.empty() ? "a field is missing" : trouble_; }
+  WorkerReport take() { return std::move(report_); }
+
+  bool null() override { return value_seen(); }
+  bool boolean(bool v) override {
+    if (depth_ == kTop && key_ == name::kSpot) report_.spot = v;
+    if (depth_ == kTask && key_ == name::kSaved) task_.saved = v;
+    return value_seen();
+  }
+  bool number_integer(number_integer_t v) override {
+    return v >= 0 ? number_unsigned(static_cast<std::uint64_t>(v)) : fail("a number is negative");
+  }
+  bool number_unsigned(number_unsigned_t v) override {
+    if (depth_ == kTop) {
+      if (key_ == name::kSession) field(kSessionSeen, report_.session, v);
+      if (key_ == name::kSeq) field(kSeqSeen, report_.seq, v);
+      if (key_ == name::kToken) field(kTokenSeen, report_.token, v);
+      if (key_ == name::kNotice) report_.notice = Seconds(static_cast<double>(v));
+    } else if (depth_ == kTask && key_ == name::kAttempt) {
+      field(kAttemptSeen, task_.attempt, v);
+    }
+    return value_seen();
+  }
+  bool number_float(number_float_t v, const string_t&) override {
+    if (depth_ == kTop && key_ == name::kNotice) {
+      if (!std::isfinite(v) || v < 0) return fail("the notice is not a time");
+      report_.notice = Seconds(v);
+    }
+    return value_seen();
+  }
+  bool string(string_t& v) override {
+    if (depth_ == kTop) {
+      if (key_ == name::kMachine) field(kMachineSeen, report_.machine, v);
+      if (key_ == name::kAddress) field(kAddressSeen, report_.address, v);
+      if (key_ == name::kType) field(kTypeSeen, report_.type, v);
+      if (key_ == name::kZone) field(kZoneSeen, report_.zone, v);
+    } else if (depth_ == kTask) {
+      try {
+        if (key_ == name::kTask) field(kNameSeen, task_.task, decode_task(v));
+        if (key_ == name::kState) field(kStateSeen, task_.state, decode_state(v));
+      } catch (const BadMessage& e) {
+        return fail(e.what());
+      }
+      if (key_ == name::kCause) task_.cause = decode_cause(v);
+    }
+    return value_seen();
+  }
+  bool binary(binary_t&) override { return fail("binary values have no place here"); }
+  bool start_object(std::size_t) override {
+    if (depth_ == 0) {
+      depth_ = kTop;
+    } else if (skipped_ == 0 && depth_ == kList) {
+      depth_ = kTask;
+      task_ = TaskReport{};
+      task_seen_ = 0;
+    } else {
+      ++skipped_;  // a field nobody here knows
+    }
+    return true;
+  }
+  bool end_object() override {
+    if (skipped_ > 0) {
+      --skipped_;
+      return true;
+    }
+    if (depth_ == kTask) {
+      if (task_seen_ != kAllTaskSeen) return fail("a task's field is missing");
+      if (task_.state != TaskState::Exited) {
+        task_.cause = ExitCause::None;
+        task_.saved = false;
+      }
+      report_.tasks.push_back(std::move(task_));
+      depth_ = kList;
+    } else {
+      depth_ = 0;
+      done_ = true;
+    }
+    return true;
+  }
+  bool start_array(std::size_t) override {
+    if (depth_ == 0) return fail("not an object");
+    if (skipped_ == 0 && depth_ == kTop && key_ == name::kTasks) {
+      depth_ = kList;
+    } else {
+      ++skipped_;
+    }
+    return true;
+  }
+  bool end_array() override {
+    if (skipped_ > 0) {
+      --skipped_;
+    } else {
+      depth_ = kTop;
+    }
+    return true;
+  }
+  bool key(string_t& v) override {
+    // Within a field that is skipped nothing has a meaning.
+    if (skipped_ == 0) key_.swap(v);
+    return true;
+  }
+  bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override {
+    return fail("not JSON");
+  }
+
+ private:
+  enum Depth { kTop = 1, kList, kTask };
+  enum Seen : unsigned {
+    kMachineSeen = 1,
+    kAddressSeen = 2,
+    kTypeSeen = 4,
+    kZoneSeen = 8,
+    kSessionSeen = 16,
+    kSeqSeen = 32,
+    kTokenSeen = 64,
+    kAllSeen = 127,
+    kNameSeen = 1,
+    kAttemptSeen = 2,
+    kStateSeen = 4,
+    kAllTaskSeen = 7
+  };
+
+  template <typename T, typename V>
+  void field(unsigned seen, T& to, V&& value) {
+    if (skipped_ > 0) return;
+    to = std::forward<V>(value);
+    (depth_ == kTop ? seen_ : task_seen_) |= seen;
+  }
+  bool value_seen() {
+    if (depth_ == 0) return fail("not an object");
+    if (depth_ == kList && skipped_ == 0) return fail("a task is not an object");
+    return true;
+  }
+  bool fail(const char* why) {
+    if (trouble_.empty()) trouble_ = why;
+    return false;
+  }
+
+  WorkerReport report_;
+  TaskReport task_;
+  std::string key_, trouble_;
+  int depth_ = 0;
+  std::size_t skipped_ = 0;
+  unsigned seen_ = 0, task_seen_ = 0;
+  bool done_ = false;
+};
+
 Json encode_command(const Command& c) {
   Json out = {{name::kTask, task_name(c.task)}, {name::kAttempt, c.attempt}};
   switch (c.op) {
@@ -84,36 +236,16 @@
 }  // namespace
 
 WorkerReport decode_report(const std::string& body) {
-  const Json in = parse(body);
-  WorkerReport r;
-  r.machine = text(in, name::kMachine);
-  r.address = text(in, name::kAddress);
-  r.type = text(in, name::kType);
-  r.zone = text(in, name::kZone);
-  r.spot = flag_or(in, name::kSpot, false);
-  r.session = integer(in, name::kSession);
-  r.seq = integer(in, name::kSeq);
-  r.token = integer(in, name::kToken);
-  if (optional_member(in, name::kNotice) != nullptr) r.notice = Seconds(number(in, name::kNotice));
-  if (optional_member(in, name::kTasks) != nullptr) {
-    const Json& tasks = list(in, name::kTasks);
-    r.tasks.reserve(tasks.size());
-    for (const auto& t : tasks) {
-      TaskReport task;
-      task.task = decode_task(text(t, name::kTask));
-      task.attempt = integer(t, name::kAttempt);
-      task.state = decode_state(text(t, name::kState));
-      if (task.state == TaskState::Exited) {
-        task.cause = decode_cause(t);
-        task.saved = flag_or(t, name::kSaved, false);
-      }
-      r.tasks.push_back(std::move(task));
-    }
-  }
-  return r;
+  ReportReader reader;
+  if (!Json::sax_parse(body, &reader) || !reader.complete()) throw BadMessage(reader.trouble());
+  return reader.take();
 }
 
 std::string encode_commands(std::uint64_t token, const std::vector<Command>& commands) {
+  // Most answers hold no command.
+  if (commands.empty()) {
+    return fmt::format(R"({{"{}":{},"{}":[]}})", name::kToken, token, name::kCommands);
+  }
   return dump({{name::kToken, token}, {name::kCommands, encode_list(commands, kLongestAnswer)}});
 }
 
--- a/tests/formulas_test.cpp
+++ b/tests/formulas_test.cpp
@@ -187,17 +187,18 @@
   running.team = "u";
   running.cpus = 8;
   const std::vector<PlanVictim> victims{{0, 0, &running, 5}, {0, 1, &running, 50}};
-  const Plan none{{}, {{0, 1}}};
-  EXPECT_TRUE(preempt(s, none, victims).empty());  // equal priority, no guarantee
+  Plan none{{}, {{0, 1}}};
+  EXPECT_TRUE(preempt(s, none, victims, rng).empty());  // equal priority, no guarantee
   s.teams["t"].guaranteed_cpus = 8;
   s.jobs[0].guaranteed = true;
   s.teams["u"].used.cpus = 16;
-  EXPECT_EQ(preempt(s, none, victims), std::vector<std::size_t>{0});  // the one that loses least
+  EXPECT_EQ(preempt(s, none, victims, rng),
+            std::vector<std::size_t>{0});  // the one that loses least
   s.teams["t"].guaranteed_cpus = 0;
   s.teams["t"].used = {};
   s.machines[0].free = {0, 0, 60};
   running.priority = Priority::Low;
-  EXPECT_EQ(preempt(s, none, victims), std::vector<std::size_t>{0});
+  EXPECT_EQ(preempt(s, none, victims, rng), std::vector<std::size_t>{0});
 }
 
 }  // namespace
