Room is made by direct commands whose answers are read; deaf machines and late copies are noticed

Late copies of reports no longer count as answers that may renew a lease; what a session reports after its lease has run out here is late; machines whose start orders never show, or that lose their lease while they report, get no work until they have kept a session, and are returned if that lasts.

--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -21,6 +21,7 @@
 constexpr auto kConsolidateEvery = 3s;
 constexpr auto kTakeOverPatience = 4s;
 constexpr auto kLull = 20s;
+constexpr int kDeafLeases = 3;         // so long a machine may seem not to hear answers
 constexpr auto kSilentPatience = 20s;  // beyond the lease, before a silent machine is returned
 
 }  // namespace
@@ -335,6 +336,11 @@
       continue;
     }
     if (!m.reported || m.silent) continue;
+    // Answers do not reach it, and have not for long: of no use, whatever it says of itself.
+    if (m.deaf_since && now - *m.deaf_since > settings_.lease * kDeafLeases) {
+      to_return_.insert(id);
+      continue;
+    }
     if (m.holds_tasks()) {
       // Work came before it was returned; what is being emptied stays closed.
       continue;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -58,7 +58,7 @@
 
 bool Fleet::usable(const Machine& m) const {
   const auto now = runtime_.now();
-  return m.reported && !m.silent && !m.draining && !m.faulty && !m.goes_at &&
+  return m.reported && !m.silent && !m.draining && !m.faulty && !m.goes_at && !m.deaf_since &&
          now >= m.no_room_until && now >= m.paused_until &&
          now - m.last_report < settings_.report_every * 5 / 2 + 1s;
 }
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -94,6 +94,9 @@
   void begin(Job& job);
   void flush(Job& job);
   void finish(Job& job);
+  void direct_answer(const WorkerReport& report);
+  void check_hearing(Machine& machine, const Events& events);
+  void seems_deaf(Machine& machine);
   void handle(Machine& machine, const Events& events);
   void on_exit(Machine& machine, const Occupant& occupant);
   void on_error(Machine& machine, Job& job);
@@ -103,8 +106,10 @@
   void write_own(wire::Txn txn, store::Urgency urgency, std::function<void(bool)> done);
   void check_gangs();
   void check_notice(Machine& machine);
-  void send_direct(const std::vector<std::pair<std::string, Command>>& stops);
+  void send_direct(const std::vector<std::pair<std::string, Command>>& stops,
+                   bool read_answers = false);
   void plan();
+  void plan_soon();
   // Its refs are places in planned_machines_ and planned_jobs_, which hold until the next one.
   sched::Snapshot snapshot();
   void refresh(Machine& machine);
@@ -126,7 +131,7 @@
 
   std::uint64_t token_ = 0, attempts_ = 0;
   TimePoint elected_at_{}, view_at_{}, next_plan_{}, next_preempt_{};
-  bool stopped_ = false, loaded_ = false, settled_ = false, plan_wanted_ = false;
+  bool stopped_ = false, loaded_ = false, settled_ = false, plan_wanted_ = false, plan_due_ = false;
   std::uint64_t live_revision_ = 0;
   Jobs jobs_;
   Machines machines_;
--- a/src/fleet/gangs.cpp
+++ b/src/fleet/gangs.cpp
@@ -1,5 +1,6 @@
 // Whole-gang stops and spot notices, and the direct path that tells a gang in time.
 
+#include "base/log.hpp"
 #include "fleet/fleet.hpp"
 #include "sched/score.hpp"
 #include "wire/worker.hpp"
@@ -31,18 +32,26 @@
   send_direct(direct);
 }
 
-void Fleet::send_direct(const std::vector<std::pair<std::string, Command>>& stops) {
+void Fleet::send_direct(const std::vector<std::pair<std::string, Command>>& stops,
+                        bool read_answers) {
   if (stops.empty() || !election_.entitled()) return;
   std::map<std::string, std::vector<Command>> by_machine;
   for (const auto& [machine, c] : stops) by_machine[machine].push_back(c);
   for (const auto& [id, commands] : by_machine) {
     const Machine* m = machines_.find(id);
     if (m == nullptr || m->address.empty()) continue;
-    // The answer is not read: reports alone say what is on a machine.
     runtime_.http(
         m->address,
         {"POST", std::string(wire::kDirectPath), wire::encode_direct(token_, m->session, commands)},
-        2s, [](const HttpResponse&) {});
+        2s, [self = weak_from_this(), read_answers](const HttpResponse& response) {
+          const auto f = self.lock();
+          if (!read_answers || response.status != 200 || !f || !f->alive()) return;
+          try {
+            f->direct_answer(wire::decode_report(response.body));
+          } catch (const wire::BadMessage& e) {
+            log::error("malformed answer to a direct command: {}", e.what());
+          }
+        });
   }
 }
 
--- a/src/fleet/machines.cpp
+++ b/src/fleet/machines.cpp
@@ -74,8 +74,11 @@
 }
 
 Machines::Order Machines::apply(const WorkerReport& r, TimePoint now, double cache_gb,
-                                std::vector<TaskEvent>& events) {
+                                std::vector<TaskEvent>& events, Source source) {
   Machine& m = all_[r.machine];
+  // Once a lease has run out here, what its session reported comes late, however new it looks:
+  // the worker has killed and forgotten all of it.
+  if (r.session < m.first_session) return Order::Late;
   if (m.reported && std::pair(r.session, r.seq) <= std::pair(m.session, m.seq)) return Order::Late;
   // A new session begins after the worker has killed and forgotten everything.
   if (r.session > m.session) clear(m, events);
@@ -133,7 +136,10 @@
   }
   for (auto it = m.occupants.begin(); it != m.occupants.end();) {
     const Occupant& o = it->second;
-    if (o.seen_seq == r.seq || o.phase == Occupant::Phase::Planned) {
+    // An answer to a report may be under way while a direct command is answered: only the next
+    // report can settle what it ordered.
+    const bool open = o.phase == Occupant::Phase::Ordered && source == Source::DirectAnswer;
+    if (o.seen_seq == r.seq || open || o.phase == Occupant::Phase::Planned) {
       ++it;
       continue;
     }
--- a/src/fleet/machines.hpp
+++ b/src/fleet/machines.hpp
@@ -57,14 +57,22 @@
   std::string id, address, type, zone;
   bool spot = false;
   std::uint64_t session = 0, seq = 0;
-  bool reported = false;  // under this leader's token
-  bool silent = false;    // its lease has surely run out: nothing runs there
+  bool reported = false;                            // under this leader's token
+  std::pair<std::uint64_t, std::uint64_t> heard{};  // newest report arrived, of any token
+  // Sessions before this one are surely over: what they still say comes late.
+  std::uint64_t first_session = 0;
+  bool silent = false;  // its lease has surely run out: nothing runs there
   TimePoint first_report{}, last_report{}, last_answered{};
   std::optional<TimePoint> goes_at;  // spot notice
   bool draining = false;
   bool faulty = false;
   bool rostered = false;  // durable: a later leader will wait for it
   TimePoint no_room_until{}, paused_until{};
+  // Reports arrive, but answers seem not to: start orders in a row that never showed, since when,
+  // and until when it must show that it hears us by keeping its session.
+  std::uint32_t unheard = 0;
+  std::optional<TimePoint> deaf_since;
+  TimePoint deaf_until{};
   std::set<std::string> failed_jobs;  // since its last success
   std::uint32_t failures = 0;
   TimePoint idle_since{};
@@ -95,9 +103,11 @@
   const std::map<std::string, Machine>& all() const { return all_; }
 
   enum class Order { New, Late };
-  // Applies a report made under this leader's token. Late ones change nothing.
+  // A report, or the same as the answer to a direct command.
+  enum class Source { Report, DirectAnswer };
+  // Applies what was made under this leader's token. Late ones change nothing.
   Order apply(const WorkerReport& report, TimePoint now, double cache_gb,
-              std::vector<TaskEvent>& events);
+              std::vector<TaskEvent>& events, Source source = Source::Report);
   // Its lease has surely run out, or the cloud has confirmed that it is gone.
   void clear(Machine& machine, std::vector<TaskEvent>& events);
   void erase(const std::string& id) { all_.erase(id); }
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -96,6 +96,22 @@
   return s;
 }
 
+// At once, or as soon as plans may follow one another.
+void Fleet::plan_soon() {
+  const auto now = runtime_.now();
+  if (now >= next_plan_) {
+    plan();
+  } else if (!plan_due_) {
+    plan_due_ = true;
+    runtime_.after(next_plan_ - now, [self = weak_from_this()] {
+      const auto f = self.lock();
+      if (!f || !f->alive()) return;
+      f->plan_due_ = false;
+      if (f->plan_wanted_) f->plan();
+    });
+  }
+}
+
 void Fleet::plan() {
   if (!loaded_ || !election_.entitled() || !view_fresh() || !catalog_.known()) return;
   plan_wanted_ = false;
@@ -189,13 +205,19 @@
     }
   }
   plan.steps += victims.size();
+  std::vector<std::pair<std::string, Command>> direct;
   for (const auto ref : sched::preempt(s, plan, victims, runtime_.rng())) {
     const auto& [m, o] = refs[ref];
     log::debug("{}/{} on {} makes room", o->task.job, o->task.index, m->id);
-    stop_occupant(
-        *m, *o,
-        o->job->checkpoint.count() > 0 ? o->job->save + Seconds(settings_.gang_peer) : Seconds(0));
+    const bool saves = o->job->checkpoint.count() > 0;
+    const Seconds grace = saves ? o->job->save + Seconds(settings_.gang_peer) : Seconds(0);
+    stop_occupant(*m, *o, grace);
+    // Told at once: whoever makes room is waited for.
+    if (o->phase == Occupant::Phase::Present) {
+      direct.emplace_back(m->id, Command{Command::Op::Stop, o->task, o->attempt, grace});
+    }
   }
+  send_direct(direct, true);
 }
 
 }  // namespace asterstair::fleet
--- a/src/fleet/reports.cpp
+++ b/src/fleet/reports.cpp
@@ -11,7 +11,8 @@
 namespace asterstair::fleet {
 namespace {
 
-constexpr auto kLeaseMargin = 300ms;  // beyond drift: steps between clock reading and action
+constexpr auto kLeaseMargin = 300ms;         // beyond drift: steps between clock reading and action
+constexpr std::uint32_t kUnheardOrders = 2;  // answers in a row whose orders never showed
 constexpr auto kNoRoomPause = 3s;
 constexpr auto kFailedPause = 10s;            // of a machine whose last task failed
 constexpr std::uint32_t kFaultyJobs = 2;      // failures of so many jobs: the machine is at fault
@@ -48,25 +49,82 @@
   const auto now = runtime_.now();
   Machine& m = machines_.at(r.machine);
   if (m.id.empty()) m.id = r.machine;
-  // Whatever this answer does, it may renew the worker's lease.
-  m.last_answered = now;
+  // An answer renews the worker's lease from when the report was sent. A report that is not newer
+  // than one that has arrived was sent before that one arrived, so an answer to it can renew the
+  // lease no further than what was counted then. Late copies must not keep a dead machine's
+  // tasks waiting.
+  const std::pair age(r.session, r.seq);
+  if (age > m.heard) {
+    m.heard = age;
+    m.last_answered = now;
+  }
   if (r.token != token_ || !loaded_) {
     // Sent before the worker knew this leader: what it shows may be older than the last leader's
     // doings. The answer carries the token; the next report counts.
     return {200, wire::encode_commands(token_, {})};
   }
+  const bool lapsed = m.reported && !m.silent && r.session > m.session;
   Events events;
   if (machines_.apply(r, now, cache_gb(r.type), events) == Machines::Order::Late) {
     return {200, wire::encode_commands(token_, {})};
   }
   if (!m.rostered) roster_waiting_.insert(m.id);
+  // It reported all the while and lost its lease all the same.
+  if (lapsed) seems_deaf(m);
   handle(m, events);
+  check_hearing(m, events);
   check_notice(m);
   if (!settled_) check_settled();
-  if (plan_wanted_ && now >= next_plan_) plan();
+  if (plan_wanted_) plan_soon();
   return {200, wire::encode_commands(token_, commands_for(m, r.seq))};
 }
 
+// The answer to a direct command shows at once what the next report would show: room that has
+// come free, above all.
+void Fleet::direct_answer(const WorkerReport& r) {
+  Machine* m = machines_.find(r.machine);
+  if (m == nullptr || !m->reported || m->silent || r.token != token_ || r.session != m->session) {
+    return;
+  }
+  Events events;
+  const auto source = Machines::Source::DirectAnswer;
+  if (machines_.apply(r, runtime_.now(), cache_gb(r.type), events, source) ==
+      Machines::Order::Late) {
+    return;
+  }
+  handle(*m, events);
+  if (plan_wanted_) plan_soon();
+}
+
+// A machine whose reports arrive while nothing reaches it takes up work that never starts. After a
+// few orders that did not show it must keep its session for a whole lease, which it can only if
+// answers reach it, before it gets more.
+void Fleet::check_hearing(Machine& m, const Events& events) {
+  for (const auto& e : events) {
+    if (e.kind == TaskEvent::Kind::Started) {
+      m.unheard = 0;
+      if (m.deaf_since && runtime_.now() >= m.deaf_until) m.deaf_since.reset();
+    }
+    if (e.kind == TaskEvent::Kind::NotStarted && e.occupant.phase == Occupant::Phase::Ordered) {
+      if (++m.unheard >= kUnheardOrders) seems_deaf(m);
+      break;  // one answer, however many orders it held
+    }
+  }
+  if (m.deaf_since && runtime_.now() >= m.deaf_until) {
+    m.deaf_since.reset();
+    m.unheard = 0;
+  }
+}
+
+void Fleet::seems_deaf(Machine& m) {
+  const auto now = runtime_.now();
+  if (!m.deaf_since) {
+    m.deaf_since = now;
+    log::info("machine {} reports, but answers seem not to reach it", m.id);
+  }
+  m.deaf_until = now + settings_.lease + kLeaseMargin;
+}
+
 void Fleet::handle(Machine& m, const Events& events) {
   for (const auto& e : events) {
     const Occupant& o = e.occupant;
@@ -276,6 +334,7 @@
   for (auto& [id, m] : machines_.all()) {
     if (m.silent || now - m.last_answered <= out) continue;
     m.silent = true;
+    m.first_session = m.session + 1;
     if (m.reported && !m.goes_at) losses_.lost({m.zone, m.spot}, now);
     log::info("machine {}: its lease has run out", id);
     Events events;
--- a/src/sched/planner.cpp
+++ b/src/sched/planner.cpp
@@ -393,6 +393,9 @@
 
 namespace {
 
+// What a second of a task's time counts for.
+double weight_of(const JobSpec& job) { return 1 + job.cpus + kCpusPerGpu * job.gpus; }
+
 // Where the next task of a job could go, and what stopping others for it costs.
 struct Offer {
   std::size_t machine = 0;
@@ -409,14 +412,15 @@
   Use free;
   std::vector<std::size_t> victims;  // in the order in which they would be stopped
   std::size_t next = 0;
+  double delay_cost = 0;  // of each task
 
   std::optional<Offer> offer(const JobSpec& job, const std::vector<PlanVictim>& all) {
-    Offer out{machine, 0, {}};
+    Offer out{machine, delay_cost, {}};
     while (!has_room(job, free)) {
       if (next == victims.size()) return std::nullopt;
       const auto& v = all[victims[next]];
       free.add(*v.job);
-      out.cost += v.lost_work * (1 + v.job->cpus + kCpusPerGpu * v.job->gpus);
+      out.cost += v.lost_work * weight_of(*v.job);
       out.stop.push_back(victims[next++]);
     }
     free.add(job, -1);
@@ -470,7 +474,11 @@
     }
     std::vector<MakingRoom> making;
     for (const auto m : candidates) {
-      MakingRoom r{m, s.machines[m].free, {}};
+      // What is fetched first delays the start: counted like work lost.
+      const auto* images = s.machines[m].images;
+      const bool cached = images != nullptr && images->count(j.job->image) != 0;
+      const double delay = start_delay(j.job->image_gb, cached).count();
+      MakingRoom r{m, s.machines[m].free, {}, 0, delay * weight_of(*j.job)};
       for (const auto v : on[m]) {
         if (!stopped[v] && may_stop(victims[v])) r.victims.push_back(v);
       }
