--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -98,6 +98,7 @@
   void check_hearing(Machine& machine, const Events& events);
   void seems_deaf(Machine& machine);
   void handle(Machine& machine, const Events& events);
+  void note_running(Job& job);
   void on_exit(Machine& machine, const Occupant& occupant);
   void on_error(Machine& machine, Job& job);
   void on_gone(Machine& machine, const Occupant& occupant, bool lost);
--- a/src/fleet/machines.cpp
+++ b/src/fleet/machines.cpp
@@ -132,6 +132,9 @@
       } else if (before != Occupant::Phase::Present) {
         events.push_back({TaskEvent::Kind::Started, o});
       }
+      if (t.state == TaskState::Running && !was_running) {
+        events.push_back({TaskEvent::Kind::Running, o});
+      }
     }
   }
   for (auto it = m.occupants.begin(); it != m.occupants.end();) {
--- a/src/fleet/machines.hpp
+++ b/src/fleet/machines.hpp
@@ -91,7 +91,7 @@
 
 // What a report, or the end of a lease, says about a task.
 struct TaskEvent {
-  enum class Kind { Adopted, Started, Exited, NotStarted, Vanished } kind;
+  enum class Kind { Adopted, Started, Running, Exited, NotStarted, Vanished } kind;
   Occupant occupant;  // as it was, or is, at that moment
 };
 
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -133,6 +133,7 @@
     Job& job = *planned_jobs_[p.job];
     Machine& m = *planned_machines_[p.machine];
     m.changed = true;
+    if (job.room_after == Seconds(0)) job.room_after = age_of(job);
     for (std::uint32_t n = 0; n < p.tasks; ++n) {
       // Numbers from the token and a counter are never used twice, by any leader.
       constexpr unsigned kCounterBits = 24;
--- a/src/fleet/reports.cpp
+++ b/src/fleet/reports.cpp
@@ -138,6 +138,9 @@
         }
         break;
       }
+      case TaskEvent::Kind::Running:
+        if (Job* job = jobs_.find(o.task.job); job != nullptr && !job->ran) note_running(*job);
+        break;
       case TaskEvent::Kind::Adopted: {
         Occupant& here = m.occupants.at({o.attempt, o.task});
         Job* job = jobs_.find(o.task.job);
@@ -163,6 +166,22 @@
   }
 }
 
+// Tells once when a job's first tasks, or all of a gang, run: how long it waited for what.
+void Fleet::note_running(Job& job) {
+  if (job.spec->gang()) {
+    if (!job.waiting.empty()) return;
+    for (const auto& [index, placed] : job.placed) {
+      Machine* m = machines_.find(placed.machine);
+      const Occupant* o =
+          m == nullptr ? nullptr : m->occupant({job.spec->id, index}, placed.attempt);
+      if (o == nullptr || o->state != TaskState::Running) return;
+    }
+  }
+  job.ran = true;
+  log::info("job {} of {}: {} tasks, room after {:.1f} s, running after {:.1f} s", job.spec->id,
+            job.spec->job_class, job.spec->tasks, job.room_after.count(), age_of(job).count());
+}
+
 void Fleet::on_exit(Machine& m, const Occupant& o) {
   Occupant& here = m.occupants.at({o.attempt, o.task});
   const auto now = runtime_.now();
