--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -19,9 +19,6 @@
 constexpr double kIdleBoots = 1;     // an idle machine is kept so many boot times
 constexpr double kTightBoots = 2.5;  // boots may take that much longer than stated
 constexpr auto kConsolidateEvery = 3s;
-// Machines that cost so many times what the job's work costs at the least are rented only for
-// work that cannot wait, and never beyond a further bound.
-constexpr double kDear = 4, kTooDear = 8;
 constexpr auto kTakeOverPatience = 4s;
 constexpr auto kLull = 20s;
 constexpr int kDeafLeases = 3;         // so long a machine may seem not to hear answers
@@ -63,7 +60,7 @@
     if (left < 1) continue;
     // The type that holds a task most cheaply, of those to be had.
     const MachineType* best = nullptr;
-    double best_price = 0, least_price = 0;
+    double best_price = 0;
     bool best_spot = false;
     for (const auto& [name, t] : catalog.types()) {
       if (!job.allows_type(name) || t.fits(job) == 0) continue;
@@ -76,15 +73,15 @@
           if ((job.zone && *job.zone != z) || refused(pool)) continue;
           rate = rate < 0 ? loss_rate(pool) : std::min(rate, loss_rate(pool));
         }
+        if (rate < 0) continue;
         // All the type's room counts: other tasks will share the machine.
         double per_machine = t.cpus / std::max(job.cpus, 1e-9);
         if (job.gpus > 0) per_machine = std::min(per_machine, t.gpus / job.gpus);
         if (job.memory_gb > 0) per_machine = std::min(per_machine, t.memory_gb / job.memory_gb);
         // Work that is lost is bought again.
-        const double nominal = (spot ? t.spot_price : t.price) / std::floor(per_machine + 1e-6);
-        least_price = least_price > 0 ? std::min(least_price, nominal) : nominal;
-        if (rate < 0) continue;  // none to be had
-        const double price = nominal * (1 + sched::takeback_chance(rate, d.remaining));
+        const double again = 1 + sched::takeback_chance(rate, d.remaining);
+        const double price =
+            (spot ? t.spot_price : t.price) * again / std::floor(per_machine + 1e-6);
         if (best == nullptr || price < best_price) {
           best = &t;
           best_price = price;
@@ -92,8 +89,7 @@
         }
       }
     }
-    if (best == nullptr || best_price > least_price * kTooDear) continue;
-    if (best_price > least_price * kDear && d.slack > best->boot.count() * kTightBoots) continue;
+    if (best == nullptr) continue;
     // Short tasks share a machine one after the other while others would still be booting.
     sched::Use whole{best->cpus, best->gpus, best->memory_gb};
     double per_machine = 0;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -8,8 +8,6 @@
 namespace {
 
 constexpr auto kTick = 250ms;
-// The users count a day as failed when the largest jobs do not begin within four minutes.
-constexpr Seconds kBeginWithin{220};
 constexpr auto kSizesEvery = 1s;
 constexpr auto kFlushEvery = 3s;  // of a job's progress
 
@@ -100,7 +98,6 @@
     if (o.kind == "finished") aim(o.within.count() - age - remaining.count());
     if (o.kind == "wait" && !job.first_started) aim(o.within.count() - age);
   }
-  if (!job.first_started) aim(kBeginWithin.count() - age);
   return any || late == -kNoAim ? best : late;
 }
 
