--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -4,10 +4,13 @@
 
 #include <algorithm>
 
+#include "base/log.hpp"
+
 namespace asterstair::fleet {
 namespace {
 
 constexpr auto kTick = 250ms;
+constexpr auto kSumUpEvery = 10s;
 constexpr auto kSizesEvery = 1s;
 constexpr auto kFlushEvery = 3s;  // of a job's progress
 
@@ -54,6 +57,28 @@
     }
   }
   if (runtime_.now() >= next_plan_) plan();
+  if (now - summed_up_at_ >= kSumUpEvery) {
+    summed_up_at_ = now;
+    sum_up();
+  }
+}
+
+// How full the fleet is, for whoever reads the log.
+void Fleet::sum_up() const {
+  sched::Use room, used;
+  std::size_t up = 0, waiting = 0;
+  for (const auto& [id, m] : machines_.all()) {
+    const auto* type = catalog_.find(m.type);
+    if (type == nullptr || !m.reported || m.silent) continue;
+    ++up;
+    room.add(sched::Use{type->cpus, type->gpus, type->memory_gb});
+    used.add(m.holding.used);
+  }
+  for (const auto& d : demand_) waiting += d.tasks;
+  log::info(
+      "{} machines; cpus {:.0f} of {:.0f}, accelerators {:.0f} of {:.0f}; {} tasks of {} jobs wait "
+      "for room",
+      up, used.cpus, room.cpus, used.gpus, room.gpus, waiting, demand_.size());
 }
 
 bool Fleet::usable(const Machine& m) const {
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -87,6 +87,7 @@
   void job_ended(const std::string& id);
 
   void tick();
+  void sum_up() const;
   void expire_leases();
   void check_settled();
   void write_roster();
@@ -131,7 +132,7 @@
   const cloud::Catalog& catalog_;
 
   std::uint64_t token_ = 0, attempts_ = 0;
-  TimePoint elected_at_{}, view_at_{}, next_plan_{}, next_preempt_{};
+  TimePoint elected_at_{}, view_at_{}, next_plan_{}, next_preempt_{}, summed_up_at_{};
   bool stopped_ = false, loaded_ = false, settled_ = false, plan_wanted_ = false, plan_due_ = false;
   std::uint64_t live_revision_ = 0;
   Jobs jobs_;
