--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -18,6 +18,7 @@
 constexpr auto kBootExtra = 20s;
 constexpr double kIdleBoots = 1;     // an idle machine is kept so many boot times
 constexpr double kTightBoots = 2.5;  // boots may take that much longer than stated
+constexpr double kBacklogBoots = 0.75;
 constexpr auto kConsolidateEvery = 3s;
 constexpr auto kTakeOverPatience = 4s;
 constexpr auto kLull = 20s;
@@ -29,7 +30,7 @@
 std::vector<Want> wanted(const std::vector<fleet::Demand>& demand, const cloud::Catalog& catalog,
                          const std::map<std::string, Coming>& coming,
                          const std::function<bool(const Pool&)>& refused,
-                         const std::function<double(const Pool&)>& loss_rate) {
+                         const std::function<double(const Pool&)>& loss_rate, Seconds backlog) {
   struct Empty {
     const MachineType* type;
     std::string zone;
@@ -64,7 +65,9 @@
     bool best_spot = false;
     for (const auto& [name, t] : catalog.types()) {
       if (!job.allows_type(name) || t.fits(job) == 0) continue;
-      if (job.gpus <= 0 && t.gpus > 0) continue;  // accelerators are for those that need them
+      // Accelerators are for those that need them, unless the arrays that do not will queue for
+      // longer than such a machine takes to come up.
+      if (job.gpus <= 0 && t.gpus > 0 && (job.gang() || backlog < t.boot * kBacklogBoots)) continue;
       for (const bool spot : {true, false}) {
         if (spot && !job.spot) continue;
         double rate = -1;  // of the safest zone to be had
@@ -82,7 +85,8 @@
         const double again = 1 + sched::takeback_chance(rate, d.remaining);
         const double price =
             (spot ? t.spot_price : t.price) * again / std::floor(per_machine + 1e-6);
-        if (best == nullptr || price < best_price) {
+        const bool plainer = best != nullptr && job.gpus <= 0 && best->gpus <= 0 && t.gpus > 0;
+        if (!plainer && (best == nullptr || price < best_price)) {
           best = &t;
           best_price = price;
           best_spot = spot;
@@ -225,7 +229,8 @@
       [&](const Pool& p) {
         const auto n = sizes.find({p.zone, p.spot});
         return fleet_->losses().rate({p.zone, p.spot}, n == sizes.end() ? 1 : n->second, now);
-      });
+      },
+      backlog());
   std::map<std::string, std::map<std::string, std::size_t>> by_type;
   if (!wants.empty()) {
     for (const auto& [id, m] : fleet_->machines().all()) {
@@ -282,6 +287,21 @@
               });
 }
 
+// How long the arrays that need no accelerator will queue, as things are.
+Seconds Autoscaler::backlog() const {
+  double work = 0, cpus = 0;
+  for (const auto& d : fleet_->demand()) {
+    if (d.job->gpus <= 0 && !d.job->gang()) {
+      work += d.tasks * d.job->cpus * d.remaining.count();
+    }
+  }
+  for (const auto& [id, m] : fleet_->machines().all()) {
+    const auto* type = catalog_.find(m.type);
+    if (type != nullptr && m.reported && !m.silent) cpus += type->cpus;
+  }
+  return Seconds(cpus > 0 ? work / cpus : 0);
+}
+
 // Whether enough room stays free without the machine for what may arrive before another could be
 // up: work that cannot wait for a boot.
 bool Autoscaler::may_spare(const fleet::Machine& machine, const FreeRoom& room) const {
--- a/src/autoscale/autoscale.hpp
+++ b/src/autoscale/autoscale.hpp
@@ -37,7 +37,8 @@
 std::vector<Want> wanted(const std::vector<fleet::Demand>& demand, const cloud::Catalog& catalog,
                          const std::map<std::string, Coming>& coming,
                          const std::function<bool(const Pool&)>& refused,
-                         const std::function<double(const Pool&)>& loss_rate);
+                         const std::function<double(const Pool&)>& loss_rate,
+                         Seconds backlog = Seconds(0));
 
 class Autoscaler : public std::enable_shared_from_this<Autoscaler> {
  public:
@@ -58,6 +59,7 @@
   struct FreeRoom {
     double cpus = 0, gpus = 0;
   };
+  Seconds backlog() const;
   FreeRoom free_room() const;
   bool may_spare(const fleet::Machine& machine, const FreeRoom& room) const;
 
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -13,6 +13,7 @@
 constexpr Duration kPlanEvery = 60ms;
 constexpr Duration kStepCost = 40ns;
 constexpr double kPlanShare = 0.25;
+constexpr Seconds kKeepFor{20};
 constexpr auto kPreemptEvery = 300ms;
 
 }  // namespace
@@ -60,6 +61,17 @@
   for (const auto& [name, t] : settings_.teams) {
     s.teams[name] = {team_use_[name], t.cpus, t.gpus, t.cpus_max, t.gpus_max};
   }
+  // Work with accelerators as it has come lately; what comes within kKeepFor finds room.
+  double gpus = 0, cpus = 0;
+  for (const auto& a : arrivals_) {
+    if (a.job->gpus <= 0) continue;
+    gpus += a.job->gpus * a.job->tasks;
+    cpus += a.job->cpus * a.job->tasks;
+  }
+  if (gpus > 0) {
+    s.cpus_per_gpu = cpus / gpus;
+    s.keep_gpus = gpus * (kKeepFor / Seconds(kArrivalWindow));
+  }
   std::vector<Job*> by_arrival;
   by_arrival.reserve(jobs_.all().size());
   for (auto& [id, job] : jobs_.all()) by_arrival.push_back(&job);
--- a/src/sched/planner.cpp
+++ b/src/sched/planner.cpp
@@ -100,7 +100,9 @@
 
 class Planner {
  public:
-  Planner(Snapshot& s, Rng& rng, Plan& out) : s_(s), rng_(rng), out_(out), pools_(pools_of(s)) {}
+  Planner(Snapshot& s, Rng& rng, Plan& out) : s_(s), rng_(rng), out_(out), pools_(pools_of(s)) {
+    for (const auto& m : s_.machines) free_slots_ += slots(m.free);
+  }
 
   void place_array(std::size_t job_index) {
     auto& j = s_.jobs[job_index];
@@ -111,7 +113,7 @@
       for (const auto& c : ranked(j, sample(fitting))) {
         if (j.waiting == 0) break;
         auto& machine = s_.machines[c.machine];
-        const auto n = std::min({j.waiting, room(*j.job, machine.free),
+        const auto n = std::min({j.waiting, array_room(*j.job, machine),
                                  team_room(s_.teams[j.job->team], *j.job),
                                  zone_room(j, j.in_zone, machine.zone)});
         if (n == 0) continue;
@@ -193,6 +195,23 @@
   }
 
  private:
+  // Accelerators that work of the usual shape could still use.
+  double slots(const Use& free) const {
+    if (free.gpus <= 0) return 0;
+    if (s_.cpus_per_gpu <= 0) return free.gpus;
+    return std::min(free.gpus, std::floor(std::max(0.0, free.cpus) / s_.cpus_per_gpu + kSlack));
+  }
+
+  // Tasks that need no accelerator leave processors beside free accelerators alone, once no more
+  // than what will be wanted soon are left.
+  std::uint32_t array_room(const JobSpec& job, const PlanMachine& machine) const {
+    if (job.gpus > 0 || machine.free.gpus <= 0) return room(job, machine.free);
+    Use free = machine.free;
+    const double may_go = std::max(0.0, free_slots_ - s_.keep_gpus);
+    free.cpus -= std::max(0.0, slots(free) - may_go) * s_.cpus_per_gpu;
+    return free.cpus <= 0 ? 0 : room(job, free);
+  }
+
   static bool allowed(const PlanJob& j, const Pool& p) {
     return (j.job->spot || !p.spot) && j.job->allows_type(p.type->name) &&
            zone_room(j, j.in_zone, *p.zone) > 0;
@@ -272,7 +291,9 @@
 
   void take(PlanJob& j, std::size_t m, std::uint32_t tasks) {
     auto& machine = s_.machines[m];
+    free_slots_ -= slots(machine.free);
     machine.free.add(*j.job, -static_cast<double>(tasks));
+    free_slots_ += slots(machine.free);
     s_.teams[j.job->team].used.add(*j.job, tasks);
     j.in_zone[machine.zone] += tasks;
     j.waiting -= tasks;
@@ -333,6 +354,7 @@
   Rng& rng_;
   Plan& out_;
   std::vector<Pool> pools_;
+  double free_slots_ = 0;
 };
 
 }  // namespace
--- a/src/sched/planner.hpp
+++ b/src/sched/planner.hpp
@@ -90,6 +90,9 @@
   std::vector<PlanMachine> machines;
   std::vector<PlanJob> jobs;
   std::map<std::string, TeamState> teams;
+  // Accelerators to keep usable for the work that needs them and will come soon, and how many
+  // processors that work takes with each. Arrays that need none may use the rest.
+  double keep_gpus = 0, cpus_per_gpu = 0;
 };
 
 struct Plan {
