--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -104,7 +104,15 @@
     const double at_once = std::ceil(left / per_machine);
     const double turns = std::max(1.0, best->boot.count() / std::max(d.remaining.count(), 1.0));
     const auto count = static_cast<std::size_t>(std::max(1.0, std::ceil(at_once / turns)));
-    out.push_back({best->name, count, best_spot, &job});
+    // One request for all that want the same: the cloud counts requests.
+    const auto same = std::find_if(out.begin(), out.end(), [&](const Want& w) {
+      return w.type == best->name && w.spot == best_spot && w.job->zone == job.zone;
+    });
+    if (same != out.end()) {
+      same->count += count;
+    } else {
+      out.push_back({best->name, count, best_spot, &job});
+    }
     for (std::size_t i = 0; i < count; ++i) {
       machines.push_back({best,
                           job.zone.value_or(best->zones.front()),
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -207,7 +207,9 @@
     for (auto& [key, o] : m.occupants) {
       if (!o.holds_room() || !o.job || o.stop) continue;
       if (!guaranteed && o.job->priority >= highest) continue;
-      if (o.phase == Occupant::Phase::Ordered || (o.job->gang() && o.job->tasks > 1)) continue;
+      // One whose start is under way is told to stop by the answer to the report that shows it: on
+      // a machine with many short tasks there is always one such.
+      if (o.job->gang() && o.job->tasks > 1) continue;
       double lost = 0;
       if (o.running_since != TimePoint{}) {
         lost = seconds(now - o.running_since);
