--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -17,6 +17,7 @@
 constexpr double kBootPatience = 4;  // times the nominal boot time
 constexpr auto kBootExtra = 20s;
 constexpr double kIdleBoots = 1;     // an idle machine is kept so many boot times
+constexpr int kAwaitedBoots = 5;     // longer, while a gang may be waiting for it
 constexpr double kTightBoots = 2.5;  // boots may take that much longer than stated
 constexpr double kBacklogBoots = 0.75;
 constexpr auto kConsolidateEvery = 3s;
@@ -327,6 +328,21 @@
   return gpu ? room.gpus - type->gpus >= expected : room.cpus - type->cpus >= expected;
 }
 
+// Whether a gang waits that this machine could serve once others have come: returned one by one as
+// they idle, the machines of a gang would never be there together.
+bool Autoscaler::gang_waits_for(const fleet::Machine& machine) const {
+  const auto* type = catalog_.find(machine.type);
+  if (type == nullptr) return false;
+  sched::PlanMachine m;
+  m.type = type;
+  m.zone = machine.zone;
+  m.spot = machine.spot;
+  for (const auto& d : fleet_->demand()) {
+    if (d.job->gang() && sched::allowed_on(*d.job, m) && type->fits(*d.job) > 0) return true;
+  }
+  return false;
+}
+
 // What is free for new work, on machines with accelerators and on those without.
 Autoscaler::FreeRoom Autoscaler::free_room() const {
   FreeRoom out;
@@ -379,8 +395,9 @@
     const Duration keep = to_duration((type != nullptr ? type->boot : Seconds(60)) * kIdleBoots);
     // Drained first; returned once a later turn still finds it without tasks. Exited tasks wait
     // for their results to be durable.
+    const bool awaited = now - idle[id] <= keep * kAwaitedBoots && gang_waits_for(m);
     if (m.faulty || m.draining ||
-        (fleet_->settled() && now - idle[id] > keep && may_spare(m, room))) {
+        (fleet_->settled() && now - idle[id] > keep && !awaited && may_spare(m, room))) {
       if (m.draining && m.occupants.empty()) {
         to_return_.insert(id);
       } else if (!m.draining) {
--- a/src/autoscale/autoscale.hpp
+++ b/src/autoscale/autoscale.hpp
@@ -59,6 +59,7 @@
   struct FreeRoom {
     double cpus = 0, gpus = 0;
   };
+  bool gang_waits_for(const fleet::Machine& machine) const;
   Seconds backlog() const;
   FreeRoom free_room() const;
   bool may_spare(const fleet::Machine& machine, const FreeRoom& room) const;
--- a/src/fleet/reports.cpp
+++ b/src/fleet/reports.cpp
@@ -122,7 +122,8 @@
     m.deaf_since = now;
     log::info("machine {} reports, but answers seem not to reach it", m.id);
   }
-  m.deaf_until = now + settings_.lease + kLeaseMargin;
+  // A lease that runs out shows in the report after that.
+  m.deaf_until = now + settings_.lease + settings_.report_every * 2 + kLeaseMargin;
 }
 
 void Fleet::handle(Machine& m, const Events& events) {
--- a/tests/random_runs_test.cpp
+++ b/tests/random_runs_test.cpp
@@ -19,6 +19,10 @@
   const char* name;
   bool crashes = false, outages = false, cuts = false, spot = false, sick = false, cloud = false,
        losses = false, burst = false;
+  // Machines that answers do not reach; late copies; a controller with nothing but its workers;
+  // ends and starts within a fraction of a second.
+  bool deaf = false, copies = false, alone = false, flapping = false;
+  int nodes = 3;
 };
 
 void PrintTo(const Day& d, std::ostream* out) { *out << d.name; }
@@ -26,6 +30,7 @@
 void play(Scenario& s, const Day& day, double length) {
   auto& w = s.world;
   std::vector<std::string> ids;
+  const int n = s.count();
   const double rate = day.burst ? 2.5 : 4.0;
   for (double t = 1; t < length; t += w.uniform(0.5, 1.5) * rate) {
     w.at(to_duration(Seconds(t)), [&s, &w] {
@@ -45,11 +50,10 @@
   if (day.crashes) {
     often(25, [&s, &w] {
       const int leader = s.leader();
-      const int which =
-          leader >= 0 && w.chance(0.7) ? leader : static_cast<int>(w.uniform(0, 2.999));
+      const int which = leader >= 0 && w.chance(0.7) ? leader : s.any_node();
       s.crash(which, w.chance(0.3) ? 0.2 : 4);
       if (w.chance(0.2)) {
-        for (int i = 0; i < 3; ++i) s.crash(i, w.uniform(0.2, 5));
+        for (int i = 0; i < s.count(); ++i) s.crash(i, w.uniform(0.2, 5));
       }
     });
   }
@@ -58,8 +62,7 @@
       if (w.chance(0.4)) {
         // The leader's node alone, half the time.
         const int leader = s.leader();
-        const int which =
-            leader >= 0 && w.chance(0.5) ? leader : static_cast<int>(w.uniform(0, 2.999));
+        const int which = leader >= 0 && w.chance(0.5) ? leader : s.any_node();
         const std::string host = "ghat-" + std::to_string(which);
         w.refuse(host, "state", true);
         w.at(to_duration(Seconds(w.uniform(3, 45))),
@@ -73,7 +76,7 @@
   if (day.cuts) {
     often(20, [&s, &w] {
       auto machines = s.cloud.running();
-      std::string host = "ghat-" + std::to_string(static_cast<int>(w.uniform(0, 2.999)));
+      std::string host = "ghat-" + std::to_string(s.any_node());
       if (!machines.empty() && w.chance(0.7)) {
         host = machines[static_cast<std::size_t>(w.uniform(0, 0.999) *
                                                  static_cast<double>(machines.size()))]
@@ -112,6 +115,43 @@
       w.at(to_duration(Seconds(w.uniform(5, 30))), [&s] { s.cloud.down = false; });
     });
   }
+  if (day.deaf) {
+    often(12, [&s, &w, n] {
+      const auto machines = s.cloud.running();
+      if (machines.empty()) return;
+      const auto m = machines[static_cast<std::size_t>(w.uniform(0, 0.999) *
+                                                       static_cast<double>(machines.size()))];
+      for (int i = 0; i < n; ++i) w.deafen(s.name(i), m->id, true);
+      w.at(to_duration(Seconds(w.uniform(3, 60))), [&s, &w, m, n] {
+        for (int i = 0; i < n; ++i) w.deafen(s.name(i), m->id, false);
+      });
+    });
+  }
+  if (day.alone) {
+    often(45, [&s, &w, n] {
+      const int which = s.leader() >= 0 && w.chance(0.8) ? s.leader() : s.any_node();
+      const auto apart = [&s, &w, which, n](bool on) {
+        for (int i = -1; i < n; ++i) {
+          if (i == which) continue;
+          const std::string other = i < 0 ? "state" : s.name(i);
+          w.deafen(s.name(which), other, on);
+          w.deafen(other, s.name(which), on);
+        }
+      };
+      apart(true);
+      w.at(to_duration(Seconds(w.uniform(5, 50))), [apart] { apart(false); });
+    });
+  }
+  if (day.flapping) {
+    often(9, [&s, &w] {
+      if (s.leader() >= 0) s.crash(s.leader(), w.uniform(0.02, 0.7));
+      if (w.chance(0.5)) s.crash(s.any_node(), w.uniform(0.02, 0.7));
+      // Once more, in the middle of what the first end set off.
+      w.at(to_duration(Seconds(w.uniform(0.02, 1.5))),
+           [&s, &w] { s.crash(s.any_node(), w.uniform(0.02, 0.3)); });
+    });
+  }
+  if (day.copies) w.copies = 0.04;
   if (day.losses) {
     w.lose = 0.01;
     w.delay = 0.02;
@@ -123,22 +163,26 @@
 
 TEST_P(RandomDay, KeepsTheRulesAndEndsTheJobs) {
   const auto& [day, seed] = GetParam();
-  Scenario s(static_cast<std::uint64_t>(seed));
+  Scenario s(static_cast<std::uint64_t>(seed), 3, day.nodes);
   play(s, day, 300);
   // Then quiet: whatever was accepted ends.
   s.state.outage(false);
   s.cloud.down = false;
   s.cloud.never_boots = 0;
-  s.world.lose = s.world.delay = 0;
-  for (int i = 0; i < 3; ++i) {
-    s.world.heal("ghat-" + std::to_string(i));
-    s.world.refuse("ghat-" + std::to_string(i), "state", false);
+  s.world.lose = s.world.delay = s.world.copies = 0;
+  s.world.hear_again();
+  for (int i = 0; i < s.count(); ++i) {
+    s.world.heal(s.name(i));
+    s.world.refuse(s.name(i), "state", false);
   }
   for (const auto& m : s.cloud.running()) {
     s.world.heal(m->id);
     m->sick = false;
   }
+  // Nodes that have just ended are back within seconds.
+  s.world.at(10s, [&s] { s.checker.troubles_over(); });
   s.world.run_until(1500);
+  s.checker.look_at_service([](const std::string&) { return false; });
   EXPECT_TRUE(s.checker.broken.empty()) << "seed " << seed << "\n" << s.checker.text();
   EXPECT_GT(s.checker.done_tasks, 50U) << "seed " << seed;
   unsigned open = 0;
@@ -162,7 +206,25 @@
                                      Day{"cloud", false, false, false, false, false, true},
                                      Day{"messages", true, false, true, false, false, false, true},
                                      Day{"everything", true, true, true, true, true, true, true,
-                                         true}),
+                                         true},
+                                     Day{.name = "deaf", .deaf = true},
+                                     Day{.name = "copies",
+                                         .crashes = true,
+                                         .cuts = true,
+                                         .spot = true,
+                                         .copies = true,
+                                         .nodes = 5},
+                                     Day{.name = "alone", .alone = true, .nodes = 5},
+                                     Day{.name = "flapping", .flapping = true, .nodes = 5},
+                                     Day{.name = "all_new",
+                                         .outages = true,
+                                         .cuts = true,
+                                         .losses = true,
+                                         .deaf = true,
+                                         .copies = true,
+                                         .alone = true,
+                                         .flapping = true,
+                                         .nodes = 5}),
                      testing::Values(1, 2, 3)),
     [](const auto& info) {
       return std::string(std::get<0>(info.param).name) + "_" +
--- a/tests/sim/checker.hpp
+++ b/tests/sim/checker.hpp
@@ -2,6 +2,8 @@
 // The rules of PROTOCOL, judged from what workers do and users are told alone. Shares no code with
 // the service.
 
+#include <algorithm>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -42,6 +44,7 @@
   // The task has its image: from now on it is on the machine.
   void present(const std::string& id, std::uint32_t index, const TruePlace& place) {
     ++starts;
+    began_.emplace(id, world_.t());
     const auto& job = jobs_.at(id);
     auto& here = on_[id];
     const auto it = here.find(index);
@@ -101,6 +104,7 @@
       fail("forgotten", id, 0, std::to_string(status));
     }
     if (status != 200 && status != 201) return;
+    asked_since_.erase(id);
     accepted_.emplace(id, world_.t());
     const bool done = stage == "done", cancelled = stage == "withdrawn";
     if (done && done_[id].size() < jobs_.at(id).tasks) fail("not_done", id, 0, "");
@@ -112,6 +116,52 @@
     if (done || cancelled) final_.emplace(id, std::pair(stage, world_.t()));
     if (cancelled) told_cancelled_.emplace(id, world_.t());
   }
+  // Troubles are over: from now on every accepted job's question must be answered again within the
+  // time, on one node or another.
+  void troubles_over() { quiet_since_ = world_.t(); }
+  void asks(const std::string& id) {
+    if (accepted_.count(id) == 0 || quiet_since_ < 0) return;
+    const auto since = std::max(quiet_since_, asked_since_.emplace(id, world_.t()).first->second);
+    if (world_.t() - since > kForgottenAfter && unanswered_.insert(id).second) {
+      fail("forgotten", id, 0, "no question answered");
+    }
+  }
+  // Whether of each class, of each team and of each class's largest jobs at least half were served,
+  // and the largest began in time. `could` says of a job whether it could have begun.
+  void look_at_service(const std::function<bool(const std::string&)>& could) {
+    struct Share {
+      unsigned all = 0, served = 0;
+    };
+    std::map<std::string, Share> shares;
+    std::map<bool, std::vector<std::uint32_t>> sizes;
+    for (const auto& [id, job] : jobs_) {
+      if (accepted_.count(id) != 0 && asked_cancel_.count(id) == 0) {
+        sizes[job.gang].push_back(job.tasks);
+      }
+    }
+    for (auto& [gang, list] : sizes) std::sort(list.begin(), list.end());
+    for (const auto& [id, job] : jobs_) {
+      if (accepted_.count(id) == 0 || asked_cancel_.count(id) != 0) continue;
+      const auto& list = sizes[job.gang];
+      const bool largest = job.tasks >= list[list.size() * 9 / 10];
+      const bool served = done_[id].size() >= job.tasks;
+      const std::string name = job.gang ? "gangs" : "arrays";
+      for (const auto& key : {name, "team " + job.team, largest ? "largest " + name : ""}) {
+        if (key.empty()) continue;
+        ++shares[key].all;
+        if (served) ++shares[key].served;
+      }
+      const auto began = began_.find(id);
+      const double waited = (began == began_.end() ? world_.t() : began->second) - accepted_[id];
+      if (largest && waited > kBeginWithin && could(id)) {
+        fail("served", id, 0, "began after " + std::to_string(waited) + " s");
+      }
+    }
+    for (const auto& [key, share] : shares) {
+      if (share.served * 2 < share.all) fail("served", key, share.served, "of too many");
+    }
+  }
+
   void asks_cancel(const std::string& id) { asked_cancel_.insert(id); }
   bool over(const std::string& id) const { return final_.count(id) != 0; }
   std::string final_of(const std::string& id) const {
@@ -151,7 +201,12 @@
                      std::to_string(index) + " " + detail);
   }
 
+  static constexpr double kForgottenAfter = 75, kBeginWithin = 240;
+
   World& world_;
+  double quiet_since_ = -1;
+  std::map<std::string, double> asked_since_, began_;
+  std::set<std::string> unanswered_;
   std::map<std::string, Team> teams_;
   double cancel_s_;
   std::map<std::string, TrueJob> jobs_;
--- a/tests/sim/fleet.hpp
+++ b/tests/sim/fleet.hpp
@@ -468,6 +468,8 @@
     machines_.erase(id);
   }
   std::size_t rented() const { return machines_.size(); }
+  // So many machines fewer of each kind are to be had.
+  void withhold(std::size_t n) { withheld_ = n; }
 
  private:
   struct Machine {
@@ -541,6 +543,7 @@
         pool = i;
     }
     for (const auto& [id, m] : machines_) used += m.pool == pool ? 1 : 0;
+    used += withheld_;
     if (pool == SIZE_MAX || used >= pools_[pool].count) {
       respond({503, R"({"error":"no capacity"})"});
       return;
@@ -576,6 +579,7 @@
   std::vector<PoolSpec> pools_;
   std::vector<std::string> nodes_, names_;
   unsigned next_ = 0;
+  std::size_t withheld_ = 0;
   std::map<std::string, Machine> machines_;
   std::map<std::string, Json> asked_;
   std::vector<std::pair<double, Json>> lists_;
--- a/tests/sim/scenario.hpp
+++ b/tests/sim/scenario.hpp
@@ -13,14 +13,16 @@
 
 namespace sim {
 
-inline std::string settings_text(int node, double rps = 120, double write_rps = 40) {
-  const char* zones[] = {"north", "south", "east"};
-  std::string out = "node = \"ghat-" + std::to_string(node) + "\"\nzone = \"" + zones[node] +
+inline std::string settings_text(int node, int nodes = 3) {
+  const double rps = 120, write_rps = 40;
+  const std::array<const char*, 3> names{"north", "south", "east"};
+  const auto zone = [&](int i) { return std::string(names.at(static_cast<std::size_t>(i) % 3)); };
+  std::string out = "node = \"ghat-" + std::to_string(node) + "\"\nzone = \"" + zone(node) +
                     "\"\napi_addr = \"10.0.0." + std::to_string(node + 1) +
                     ":8080\"\ncluster_listen = \"10.0.0." + std::to_string(node + 1) + ":8081\"\n";
-  for (int i = 0; i < 3; ++i) {
+  for (int i = 0; i < nodes; ++i) {
     if (i == node) continue;
-    out += "[[siblings]]\nnode = \"ghat-" + std::to_string(i) + "\"\nzone = \"" + zones[i] +
+    out += "[[siblings]]\nnode = \"ghat-" + std::to_string(i) + "\"\nzone = \"" + zone(i) +
            "\"\naddress = \"10.0.0." + std::to_string(i + 1) + ":8081\"\n";
   }
   out += R"(
@@ -28,7 +30,8 @@
 cloud = "10.2.0.2:8443"
 state = "10.2.0.1:2379"
 [cluster]
-count = 3
+count = )" +
+         std::to_string(nodes) + R"(
 zones = ["north", "south", "east"]
 clock_off_ms = 500.0
 [[cluster.teams]]
@@ -113,20 +116,31 @@
 
 class Scenario {
  public:
-  explicit Scenario(std::uint64_t seed, std::size_t per_pool = 3)
+  explicit Scenario(std::uint64_t seed, std::size_t per_pool = 3, int node_count = 3)
       : world(seed),
         checker(world, {{"red", {40, 4}}, {"blue", {0, 0}}}, 40.0),
         state(world, "10.2.0.1:2379"),
-        cloud(world, checker, jobs, timing, "10.2.0.2:8443", pools(per_pool), addresses(),
-              names()) {
+        cloud(world, checker, jobs, timing, "10.2.0.2:8443", pools(per_pool), addresses(node_count),
+              names(node_count)),
+        nodes(static_cast<std::size_t>(node_count)) {
     world.after_step = [this] { checker.look(); };
-    for (int i = 0; i < 3; ++i) boot(i);
+    for (int i = 0; i < node_count; ++i) boot(i);
   }
 
-  static std::vector<std::string> addresses() {
-    return {"10.0.0.1:8080", "10.0.0.2:8080", "10.0.0.3:8080"};
+  static std::vector<std::string> addresses(int n) {
+    std::vector<std::string> out;
+    for (int i = 0; i < n; ++i) out.push_back("10.0.0." + std::to_string(i + 1) + ":8080");
+    return out;
+  }
+  static std::vector<std::string> names(int n) {
+    std::vector<std::string> out;
+    for (int i = 0; i < n; ++i) out.push_back("ghat-" + std::to_string(i));
+    return out;
   }
-  static std::vector<std::string> names() { return {"ghat-0", "ghat-1", "ghat-2"}; }
+  int count() const { return static_cast<int>(nodes.size()); }
+  std::string name(int i) const { return names(count())[static_cast<std::size_t>(i)]; }
+  std::string address(int i) const { return addresses(count())[static_cast<std::size_t>(i)]; }
+  int any_node() { return static_cast<int>(world.uniform(0, count() - 0.001)); }
   static std::vector<PoolSpec> pools(std::size_t n) {
     std::vector<PoolSpec> out;
     const Shape cpu{"c16", 16, 0, 64, 0.5}, gpu{"g2", 8, 2, 64, 1.0};
@@ -140,18 +154,21 @@
   }
 
   void boot(int i) {
-    const auto name = names()[static_cast<std::size_t>(i)];
     auto& p = nodes[static_cast<std::size_t>(i)];
-    p.runtime =
-        std::make_unique<SimRuntime>(world, name, [this](const std::string& to, std::string m) {
-          world.at(3ms, [this, to, m = std::move(m)] {
-            for (std::size_t k = 0; k < 3; ++k) {
-              if (names()[k] == to && nodes[k].node) nodes[k].node->peer_message(m);
-            }
-          });
-        });
-    p.node = std::make_unique<Node>(*p.runtime, parse_settings(settings_text(i)));
-    world.listen(addresses()[static_cast<std::size_t>(i)], name,
+    if (p.node) return;
+    p.runtime = std::make_unique<SimRuntime>(world, name(i),
+                                             [this, i](const std::string& to, std::string m) {
+                                               if (!world.reaches(name(i), to)) return;
+                                               world.at(3ms, [this, to, m = std::move(m)] {
+                                                 for (int k = 0; k < count(); ++k) {
+                                                   auto& q = nodes[static_cast<std::size_t>(k)];
+                                                   if (name(k) == to && q.node)
+                                                     q.node->peer_message(m);
+                                                 }
+                                               });
+                                             });
+    p.node = std::make_unique<Node>(*p.runtime, parse_settings(settings_text(i, count())));
+    world.listen(address(i), name(i),
                  [this, i, life = ++p.life](const HttpRequest& r, const Respond& respond) {
                    auto& q = nodes[static_cast<std::size_t>(i)];
                    if (r.target == "/v1/report") ++reports;
@@ -162,13 +179,13 @@
   void crash(int i, double back_s) {
     auto& p = nodes[static_cast<std::size_t>(i)];
     if (!p.node) return;
-    world.close(addresses()[static_cast<std::size_t>(i)]);
+    world.close(address(i));
     p.node.reset();
     p.runtime.reset();
     world.at(to_duration(Seconds(back_s)), [this, i] { boot(i); });
   }
   int leader() const {
-    for (int i = 0; i < 3; ++i) {
+    for (int i = 0; i < count(); ++i) {
       if (nodes[static_cast<std::size_t>(i)].node &&
           nodes[static_cast<std::size_t>(i)].node->leading())
         return i;
@@ -192,7 +209,7 @@
     jobs.specs[id] = ask.spec;
     checker.submitted(id, ask.truth);
     Json body = {{"ref", id},
-                 {"lane", "any"},
+                 {"lane", ask.spec.gang ? "gangs" : "arrays"},
                  {"owner", ask.truth.team},
                  {"shape", ask.spec.gang ? "ensemble" : "batch"},
                  {"rank", "standard"},
@@ -241,9 +258,9 @@
   }
   void ask_node(const std::string& id, HttpRequest request, Duration timeout, bool submit,
                 std::function<void(int)> done) {
-    const auto node = static_cast<std::size_t>(world.uniform(0, 2.999));
+    if (request.method == "GET") checker.asks(id);
     world.http(
-        "users", addresses()[node], std::move(request), timeout,
+        "users", address(any_node()), std::move(request), timeout,
         [this, id, submit, asked = world.t(), done = std::move(done)](const HttpResponse& r) {
           const auto in = Json::parse(r.body, nullptr, false);
           const bool good = in.is_object() && in.contains("stage");
@@ -257,11 +274,14 @@
     a.truth.team = world.chance(0.5) ? "red" : "blue";
     a.truth.spot = world.chance(0.6);
     a.spec.gang = world.chance(0.35);
-    a.spec.tasks = static_cast<std::uint32_t>(world.uniform(1, a.spec.gang ? 5 : 20));
+    a.spec.tasks = static_cast<std::uint32_t>(world.uniform(1, !a.spec.gang            ? 20
+                                                               : a.truth.team == "red" ? 5
+                                                                                       : 12.99));
     a.spec.cpus = world.chance(0.5) ? 2 : 4;
     a.spec.memory_gb = 4;
     if (world.chance(0.3)) a.spec.gpus = 1;
-    if (a.spec.gang && a.truth.team == "red") a.spec.gpus = 0;
+    // A zone has accelerators for small gangs only.
+    if (a.spec.gang && (a.truth.team == "red" || a.spec.tasks > 5)) a.spec.gpus = 0;
     a.spec.run_s = world.uniform(5, 40);
     a.spec.checkpoint_s = world.chance(0.5) ? 5 : 0;
     a.spec.save_s = a.spec.checkpoint_s > 0 ? 2 : 0;
@@ -285,7 +305,7 @@
   Checker checker;
   StateService state;
   CloudService cloud;
-  std::array<Process, 3> nodes;
+  std::vector<Process> nodes;
   unsigned next_job = 0;
   std::uint64_t reports = 0;
 };
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -59,6 +59,19 @@
     }
   }
 
+  // Messages from one host to another are lost, in this direction only.
+  void deafen(const std::string& from, const std::string& to, bool on) {
+    if (on) {
+      deaf_.emplace(from, to);
+    } else {
+      deaf_.erase({from, to});
+    }
+  }
+  void hear_again() { deaf_.clear(); }
+  bool reaches(const std::string& from, const std::string& to) const {
+    return cuts_.count(from) == 0 && cuts_.count(to) == 0 && deaf_.count({from, to}) == 0;
+  }
+
   // One host alone is answered 503 by another.
   void refuse(const std::string& from, const std::string& to, bool on) {
     if (on) {
@@ -101,6 +114,16 @@
         return;
       }
       const auto handler = server->second.handler;
+      // A copy of the message comes late; nobody waits for what it is answered.
+      if (copies > 0 && chance(copies)) {
+        at(to_duration(Seconds(uniform(1, 45))), [this, address, request] {
+          const auto again = servers_.find(address);
+          if (again == servers_.end()) return;
+          ++copies_made;
+          const auto h = again->second.handler;
+          h(request, [](const HttpResponse&) {});
+        });
+      }
       handler(request, [this, from, to, finish, address, request](HttpResponse r) {
         if (tamper) tamper(address, request, r);
         carry(to, from, [finish, r = std::move(r)] { finish(r); });
@@ -114,8 +137,10 @@
   Rng rng;
   std::function<void()> after_step;
   std::function<void(const std::string&, const HttpRequest&, HttpResponse&)> tamper;
-  double lose = 0;   // share of messages that never arrive
-  double delay = 0;  // share that arrives much later
+  double lose = 0;    // share of messages that never arrive
+  double delay = 0;   // share that arrives much later
+  double copies = 0;  // share of requests that arrive once more, up to several leases later
+  std::uint64_t copies_made = 0;
 
  private:
   struct Event {
@@ -134,6 +159,7 @@
       held_.emplace_back(std::pair(from, to), std::move(action));
       return;
     }
+    if (deaf_.count({from, to}) != 0) return;
     if (lose > 0 && chance(lose)) return;
     const double seconds_late = delay > 0 && chance(delay) ? uniform(1, 40) : uniform(0.001, 0.01);
     at(to_duration(Seconds(seconds_late)), std::move(action));
@@ -144,7 +170,7 @@
   std::priority_queue<Event> events_;
   std::map<std::string, Server> servers_;
   std::set<std::string> cuts_;
-  std::set<std::pair<std::string, std::string>> refused_;
+  std::set<std::pair<std::string, std::string>> refused_, deaf_;
   std::vector<std::pair<std::pair<std::string, std::string>, std::function<void()>>> held_;
 };
 
--- /dev/null
+++ b/tests/troubles_test.cpp
@@ -0,0 +1,247 @@
+// Troubles one at a time, each against the guard that answers it: every test here fails when its
+// guard is taken out.
+
+#include <gtest/gtest.h>
+
+#include "fleet/machines.hpp"
+#include "sim/scenario.hpp"
+
+namespace {
+
+using namespace sim;
+
+Scenario::Ask array(std::uint32_t tasks, double run_s) {
+  Scenario::Ask a;
+  a.truth.team = "blue";
+  a.spec.tasks = tasks;
+  a.spec.cpus = 4;
+  a.spec.memory_gb = 1;
+  a.spec.run_s = run_s;
+  a.spec.image = "img";
+  a.spec.image_gb = 0.1;
+  return a;
+}
+
+// Reports arrive, answers and commands do not: without a guard the leader would send it work again
+// and again, for as long as the trouble lasts.
+TEST(DeafMachine, GetsNoMoreWorkAndIsReturned) {
+  Scenario s(21);
+  for (int i = 0; i < 8; ++i) s.submit(array(4, 30));
+  s.world.run_until(40);
+  const auto machines = s.cloud.running();
+  ASSERT_FALSE(machines.empty());
+  const auto deaf = machines.front();
+  for (int i = 0; i < s.count(); ++i) s.world.deafen(s.name(i), deaf->id, true);
+  std::map<std::string, int> ordered;
+  s.world.tamper = [&](const std::string&, const HttpRequest& request, HttpResponse& r) {
+    if (request.target != "/v1/report" || r.status != 200) return;
+    if (Json::parse(request.body)["host"] != deaf->id) return;
+    for (const auto& c : Json::parse(r.body)["orders"]) {
+      if (c["verb"] == "run") ++ordered[c["piece"].get<std::string>()];
+    }
+  };
+  for (int i = 0; i < 60; ++i) {
+    s.world.at(to_duration(Seconds(i * 2)), [&s] { s.submit(array(6, 30)); });
+  }
+  s.world.run_until(200);
+  EXPECT_TRUE(deaf->ended) << "still rented";
+  EXPECT_LE(ordered.size(), 16U) << "so many starts were sent where none is heard";
+  s.world.run_until(500);
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+  for (unsigned i = 1; i <= s.next_job; ++i) {
+    char id[16];
+    std::snprintf(id, sizeof id, "req-%06u", i);
+    EXPECT_EQ(s.checker.final_of(id), "done") << id;
+  }
+}
+
+// Copies of a dead machine's reports must not keep it looking alive: its work would wait for as
+// long as they come.
+TEST(LateCopies, DoNotKeepADeadMachineAlive) {
+  Scenario s(22);
+  const auto id = s.submit(array(1, 60));
+  std::string last, address, host;
+  s.world.tamper = [&](const std::string& to, const HttpRequest& request, HttpResponse& r) {
+    if (request.target != "/v1/report" || r.status != 200) return;
+    if (request.body.find("\"running\"") == std::string::npos) return;
+    last = request.body;
+    address = to;
+    host = Json::parse(request.body)["host"];
+  };
+  s.world.run_until(40);
+  ASSERT_FALSE(last.empty());
+  s.world.tamper = nullptr;
+  s.cloud.take(host);
+  for (int i = 0; i < 400; ++i) {
+    s.world.at(to_duration(Seconds(0.5 * i)), [&] {
+      s.world.http("copies", address, {"POST", "/v1/report", last}, 4s, [](const HttpResponse&) {});
+    });
+  }
+  // A lease of 10 s, perhaps a boot of up to 12 s, and 60 s to run.
+  s.world.run_until(40 + 10 + 15 + 60 + 20);
+  EXPECT_EQ(s.checker.final_of(id), "done");
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+}
+
+class MachineView : public testing::Test {
+ protected:
+  static WorkerReport report(std::uint64_t session, std::uint64_t seq,
+                             std::vector<TaskReport> tasks = {}) {
+    WorkerReport r;
+    r.machine = "n-1";
+    r.session = session;
+    r.seq = seq;
+    r.tasks = std::move(tasks);
+    return r;
+  }
+  static TaskReport task(std::uint64_t attempt) {
+    return {{"req-1", 0}, attempt, TaskState::Running, ExitCause::None, false};
+  }
+  fleet::Machines machines;
+  std::vector<fleet::TaskEvent> events;
+};
+
+// What a session says after its lease has run out here comes late, however new it looks.
+TEST_F(MachineView, AReportOfALostSessionBringsBackNothing) {
+  machines.apply(report(1, 5, {task(7)}), {}, 0, events);
+  auto& m = machines.at("n-1");
+  machines.clear(m, events);
+  m.silent = true;
+  m.first_session = m.session + 1;
+  events.clear();
+  EXPECT_EQ(machines.apply(report(1, 6, {task(7)}), {}, 0, events), fleet::Machines::Order::Late);
+  EXPECT_TRUE(events.empty());
+  EXPECT_TRUE(m.occupants.empty());
+  EXPECT_TRUE(m.silent);
+  EXPECT_EQ(machines.apply(report(2, 7), {}, 0, events), fleet::Machines::Order::New);
+  EXPECT_FALSE(m.silent);
+}
+
+// An answer with a start may be under way while a direct command is answered: the task missing from
+// that answer may still start, and must count as there.
+TEST_F(MachineView, ADirectAnswerDoesNotSettleAnOrder) {
+  machines.apply(report(1, 1), {}, 0, events);
+  auto& m = machines.at("n-1");
+  fleet::Occupant o;
+  o.task = {"req-1", 0};
+  o.attempt = 9;
+  o.phase = fleet::Occupant::Phase::Ordered;
+  m.occupants.emplace(fleet::OccupantKey{9, o.task}, o);
+  events.clear();
+  machines.apply(report(1, 2), {}, 0, events, fleet::Machines::Source::DirectAnswer);
+  EXPECT_TRUE(events.empty());
+  EXPECT_EQ(m.occupants.size(), 1U);
+  machines.apply(report(1, 3), {}, 0, events);
+  ASSERT_EQ(events.size(), 1U);
+  EXPECT_EQ(events[0].kind, fleet::TaskEvent::Kind::NotStarted);
+  EXPECT_TRUE(m.occupants.empty());
+}
+
+// A leader that hears neither state service nor siblings, but its workers: the next one must not be
+// held up, and a cancellation told by another node must be kept to.
+TEST(AloneWithItsWorkers, TheLeaderGivesWayInTime) {
+  Scenario s(23, 3, 5);
+  const auto id = s.submit(array(4, 300));
+  s.world.run_until(40);
+  const int old = s.leader();
+  ASSERT_GE(old, 0);
+  for (int i = -1; i < s.count(); ++i) {
+    if (i == old) continue;
+    const std::string other = i < 0 ? "state" : s.name(i);
+    s.world.deafen(s.name(old), other, true);
+    s.world.deafen(other, s.name(old), true);
+  }
+  s.world.at(2s, [&] { s.cancel(id); });
+  int next = -1;
+  for (double t = 40; t < 75 && next < 0; t += 0.5) {
+    s.world.run_until(t);
+    for (int i = 0; i < s.count(); ++i) {
+      if (i != old && s.nodes[static_cast<std::size_t>(i)].node->leading()) next = i;
+    }
+  }
+  EXPECT_GE(next, 0) << "nobody took over within 35 s";
+  s.world.run_until(200);
+  EXPECT_EQ(s.checker.final_of(id), "withdrawn");
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+}
+
+// A machine of a gang is not returned while the others come: gangs of several whole machines would
+// never find them together.
+TEST(WaitingGang, KeepsTheMachinesThatHaveCome) {
+  Scenario s(24);
+  auto a = array(12, 20);
+  a.spec.gang = true;
+  a.truth.one_zone = true;
+  a.truth.zone = "south";
+  s.world.run_until(5);
+  // Two of the three machines it needs can be had at first.
+  s.cloud.withhold(1);
+  const auto id = s.submit(a);
+  s.world.at(60s, [&s] { s.cloud.withhold(0); });
+  s.world.run_until(180);
+  EXPECT_EQ(s.checker.final_of(id), "done");
+}
+
+TEST(Checker, CatchesQuestionsLeftWithoutAnswer) {
+  Scenario s(25);
+  const auto id = s.submit(array(1, 400));
+  s.world.run_until(30);
+  s.checker.troubles_over();
+  s.world.tamper = [&](const std::string&, const HttpRequest& request, HttpResponse& r) {
+    if (request.method == "GET" && request.target == "/v2/runs/" + id) r.status = 503;
+  };
+  s.world.run_until(150);
+  EXPECT_TRUE(s.checker.found("forgotten")) << s.checker.text();
+}
+
+TEST(Checker, CatchesAClassLeftUnserved) {
+  Scenario s(26);
+  // Nothing is ever started for gangs.
+  s.world.tamper = [&](const std::string&, const HttpRequest& request, HttpResponse& r) {
+    if (request.target != "/v1/report" || r.status != 200) return;
+    auto out = Json::parse(r.body);
+    Json kept = Json::array();
+    for (const auto& c : out["orders"]) {
+      const auto piece = c["piece"].get<std::string>();
+      const bool gang = s.jobs.specs.at(piece.substr(0, piece.find('/'))).gang;
+      if (c["verb"] != "run" || !gang) kept.push_back(c);
+    }
+    out["orders"] = kept;
+    r.body = out.dump();
+  };
+  for (int i = 0; i < 6; ++i) {
+    auto a = array(2, 10);
+    a.spec.gang = i % 2 == 0;
+    s.submit(a);
+  }
+  s.world.run_until(400);
+  s.checker.look_at_service([](const std::string&) { return true; });
+  EXPECT_TRUE(s.checker.found("served")) << s.checker.text();
+}
+
+// Hundreds of machines, five nodes, and the leader ending again and again.
+TEST(GrownFleet, KeepsTheRulesAndServesEveryClass) {
+  Scenario s(27, 20, 5);
+  auto& w = s.world;
+  for (double t = 1; t < 90; t += w.uniform(0.5, 1.5) * 0.6) {
+    w.at(to_duration(Seconds(t)), [&s, &w] {
+      auto a = s.random_ask();
+      // The other team's limit holds little.
+      if (w.chance(0.9)) a.truth.team = "blue";
+      if (!a.spec.gang && a.truth.team == "blue") a.spec.tasks *= 5;
+      s.submit(a);
+    });
+  }
+  for (const int at : {40, 55, 56, 80}) {
+    w.at(std::chrono::seconds(at), [&s, &w] {
+      if (s.leader() >= 0) s.crash(s.leader(), w.uniform(0.05, 3));
+    });
+  }
+  w.at(100s, [&s] { s.checker.troubles_over(); });
+  w.run_until(420);
+  s.checker.look_at_service([](const std::string&) { return false; });
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+  EXPECT_GT(s.checker.starts, 2000U);
+}
+
+}  // namespace
