--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -375,16 +375,16 @@
   std::map<std::string, TimePoint> idle;
   auto room = free_room();
   for (const auto& [id, m] : all) {
-    if (m.silent && now - m.last_answered > settings_.lease + kSilentPatience) {
+    // Answers do not reach it, and have not for long: of no use, whatever it says of itself.
+    if (m.deaf_since && now - *m.deaf_since > settings_.lease * kDeafLeases) {
       to_return_.insert(id);
       continue;
     }
-    if (!m.reported || m.silent) continue;
-    // Answers do not reach it, and have not for long: of no use, whatever it says of itself.
-    if (m.deaf_since && now - *m.deaf_since > settings_.lease * kDeafLeases) {
+    if (m.silent && now - m.last_answered > settings_.lease + kSilentPatience) {
       to_return_.insert(id);
       continue;
     }
+    if (!m.reported || m.silent) continue;
     if (m.holds_tasks()) {
       // Work came before it was returned; what is being emptied stays closed.
       continue;
--- a/src/fleet/machines.hpp
+++ b/src/fleet/machines.hpp
@@ -68,9 +68,10 @@
   bool faulty = false;
   bool rostered = false;  // durable: a later leader will wait for it
   TimePoint no_room_until{}, paused_until{};
-  // Reports arrive, but answers seem not to: start orders in a row that never showed, since when,
-  // and until when it must show that it hears us by keeping its session.
-  std::uint32_t unheard = 0;
+  // Reports arrive, but answers seem not to: start orders in a row that never showed, sessions lost
+  // in a row, since when it has seemed so, and until when it must show that it hears us by keeping
+  // its session.
+  std::uint32_t unheard = 0, lapses = 0;
   std::optional<TimePoint> deaf_since;
   TimePoint deaf_until{};
   std::set<std::string> failed_jobs;  // since its last success
--- a/src/fleet/reports.cpp
+++ b/src/fleet/reports.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr auto kLeaseMargin = 300ms;         // beyond drift: steps between clock reading and action
+constexpr std::uint32_t kLapses = 2;         // sessions in a row lost without a sign of hearing
 constexpr std::uint32_t kUnheardOrders = 2;  // answers in a row whose orders never showed
 constexpr auto kNoRoomPause = 3s;
 constexpr auto kFailedPause = 10s;            // of a machine whose last task failed
@@ -63,14 +64,15 @@
     // doings. The answer carries the token; the next report counts.
     return {200, wire::encode_commands(token_, {})};
   }
-  const bool lapsed = m.reported && !m.silent && r.session > m.session;
+  const bool lapsed = m.reported && r.session > m.session;
   Events events;
   if (machines_.apply(r, now, cache_gb(r.type), events) == Machines::Order::Late) {
     return {200, wire::encode_commands(token_, {})};
   }
   if (!m.rostered) roster_waiting_.insert(m.id);
-  // It reported all the while and lost its lease all the same.
-  if (lapsed) seems_deaf(m);
+  // A cut may cost one session. Losing one after the other while reports arrive shows that answers
+  // do not.
+  if (lapsed && ++m.lapses >= kLapses) seems_deaf(m);
   handle(m, events);
   check_hearing(m, events);
   check_notice(m);
@@ -102,7 +104,7 @@
 void Fleet::check_hearing(Machine& m, const Events& events) {
   for (const auto& e : events) {
     if (e.kind == TaskEvent::Kind::Started) {
-      m.unheard = 0;
+      m.unheard = m.lapses = 0;
       if (m.deaf_since && runtime_.now() >= m.deaf_until) m.deaf_since.reset();
     }
     if (e.kind == TaskEvent::Kind::NotStarted && e.occupant.phase == Occupant::Phase::Ordered) {
@@ -112,7 +114,7 @@
   }
   if (m.deaf_since && runtime_.now() >= m.deaf_until) {
     m.deaf_since.reset();
-    m.unheard = 0;
+    m.unheard = m.lapses = 0;
   }
 }
 
