--- a/src/fleet/moving.cpp
+++ b/src/fleet/moving.cpp
@@ -1,6 +1,7 @@
 // Emptying machines: for their return, and of costly ones in lulls.
 
 #include <algorithm>
+#include <numeric>
 
 #include "base/log.hpp"
 #include "fleet/fleet.hpp"
@@ -12,6 +13,9 @@
 constexpr Seconds kEndsSoon{15};
 constexpr auto kMoveEvery = 30s;
 constexpr double kMoveWorth = 4;
+constexpr std::size_t kMostEmptied = 6;  // machines at a time: their tasks all restart
+// A task that outlasts its estimate goes on, as a rule, for a share of what it has run.
+constexpr double kOutlasts = 0.3;
 
 }  // namespace
 
@@ -29,7 +33,8 @@
     if (o.phase != Occupant::Phase::Present || o.state != TaskState::Running || o.stop || !o.job) {
       return false;
     }
-    const Seconds left = o.job->estimate - Seconds(now - o.running_since);
+    const Seconds ran(now - o.running_since);
+    const Seconds left = std::max(o.job->estimate - ran, ran * kOutlasts);
     const bool saves = o.job->checkpoint.count() > 0 && (!o.job->gang() || o.job->tasks == 1);
     if (saves) any = true;
     if (!saves && left > kEndsSoon) return false;
@@ -46,32 +51,51 @@
 
 void Fleet::consolidate(const std::function<bool(const Machine&)>& spare) {
   if (!settled_ || !election_.entitled() || !demand_.empty()) return;
-  const auto s = snapshot();
+  auto s = snapshot();
   if (!s.jobs.empty()) return;
-  std::vector<const sched::PlanMachine*> by_price;
-  for (const auto& m : s.machines) by_price.push_back(&m);
-  std::sort(by_price.begin(), by_price.end(), [](const auto* a, const auto* b) {
-    return std::pair(a->price(), a->ref) > std::pair(b->price(), b->ref);
+  // Those that cost most for what stands idle on them first.
+  const auto idle = [](const sched::PlanMachine& m) {
+    const double share = m.type->gpus > 0 ? m.free.gpus / m.type->gpus : m.free.cpus / m.type->cpus;
+    return m.price() * share;
+  };
+  std::vector<std::size_t> order(s.machines.size());
+  std::iota(order.begin(), order.end(), 0);
+  std::sort(order.begin(), order.end(), [&](std::size_t x, std::size_t y) {
+    return std::pair(idle(s.machines[x]), x) > std::pair(idle(s.machines[y]), y);
   });
-  for (const auto* from : by_price) {
-    Machine& m = *planned_machines_[from->ref];
-    if (from->empty() || !can_move(m) || !spare(m)) continue;
-    auto others = s.machines;
+  std::vector<bool> leaving(s.machines.size(), false);
+  std::size_t emptied = 0;
+  for (const auto from : order) {
+    if (emptied >= kMostEmptied) break;
+    Machine& m = *planned_machines_[s.machines[from].ref];
+    if (s.machines[from].empty() || !can_move(m) || !spare(m)) continue;
+    std::vector<std::pair<std::size_t, const JobSpec*>> moves;
     bool fits = true;
     for (const auto& [key, o] : m.occupants) {
       if (!o.holds_room() || o.job->checkpoint.count() <= 0) continue;
-      bool placed = false;
-      for (auto& to : others) {
-        if (to.ref == from->ref || to.empty() || to.price() > from->price()) continue;
-        if (!sched::allowed_on(*o.job, to) || !sched::fits(*o.job, to.free)) continue;
+      // The fullest that has room.
+      std::size_t best = SIZE_MAX;
+      for (std::size_t to = 0; to < s.machines.size(); ++to) {
+        const auto& t = s.machines[to];
+        if (to == from || leaving[to] || t.empty() || t.price() > s.machines[from].price())
+          continue;
         if (o.job->one_zone || o.job->spread) continue;
-        to.free.add(*o.job, -1);
-        placed = true;
+        if (!sched::allowed_on(*o.job, t) || !sched::fits(*o.job, t.free)) continue;
+        if (best == SIZE_MAX || idle(t) < idle(s.machines[best])) best = to;
+      }
+      if (best == SIZE_MAX) {
+        fits = false;
         break;
       }
-      fits = fits && placed;
+      s.machines[best].free.add(*o.job, -1);
+      moves.emplace_back(best, o.job.get());
+    }
+    if (!fits) {
+      for (const auto& [to, job] : moves) s.machines[to].free.add(*job);
+      continue;
     }
-    if (!fits) continue;
+    leaving[from] = true;
+    ++emptied;
     log::info("machine {} is emptied: others have room for its tasks", m.id);
     m.draining = true;
     for (auto& [key, o] : m.occupants) {
@@ -79,7 +103,6 @@
         stop_occupant(m, o, o.job->save + Seconds(settings_.gang_peer));
       }
     }
-    return;
   }
 }
 
