Idle connections give way; refusals by the state service are counted in the log

Direct commands leave connections open to hundreds of workers; at the bound they took what the state service and the cloud need. Guarded by Http.IdleConnectionsGiveWay.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -27,6 +27,7 @@
   http_parser parser{};
   bool connected = false, closing = false, busy = false, got_bytes = false;
   int handles = 2;
+  std::uint64_t idle_since = 0;  // a count of turns
   HttpRequest request;
   std::string outgoing;
   HttpCallback done;
@@ -62,6 +63,7 @@
     idle.pop_back();
   } else {
     const auto target = parse_address(address);
+    if (open_ >= max_connections_) close_longest_idle();
     if (!target || open_ >= max_connections_) {
       // Answered from the loop, never from inside the call: callers need not be re-entrant.
       auto* timer = new uv_timer_t;
@@ -220,6 +222,7 @@
   const std::string address = c->address;
   auto& idle = idle_[address];
   if (reusable && idle.size() < kMostIdlePerAddress) {
+    c->idle_since = ++turns_;
     idle.push_back(c);
   } else {
     release(c);
@@ -227,6 +230,18 @@
   if (was_busy && done) done(std::move(response));
 }
 
+// Connections kept open to hundreds of workers must not use up what the state service and the cloud
+// need.
+void HttpClient::close_longest_idle() {
+  Connection* longest = nullptr;
+  for (const auto& [address, idle] : idle_) {
+    for (auto* c : idle) {
+      if (longest == nullptr || c->idle_since < longest->idle_since) longest = c;
+    }
+  }
+  if (longest != nullptr) release(longest);
+}
+
 void HttpClient::release(Connection* c) {
   auto& idle = idle_[c->address];
   idle.erase(std::remove(idle.begin(), idle.end(), c), idle.end());
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -26,10 +26,12 @@
   void start(Connection* connection);
   void finish(Connection* connection, HttpResponse response, bool reusable);
   void release(Connection* connection);
+  void close_longest_idle();
 
   uv_loop_t* loop_;
   std::size_t max_connections_;
   std::size_t open_ = 0;
+  std::uint64_t turns_ = 0;
   std::unordered_map<std::string, std::vector<Connection*>> idle_;
 };
 
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t kLargestTxn = std::size_t{60} * 1024;
 constexpr std::size_t kPageItems = 200;
 constexpr auto kDownAfter = 2s;
+constexpr auto kRefusalsToldEvery = 10s;
 
 template <typename F>
 auto guarded(const char* what, F decode) -> std::optional<decltype(decode())> {
@@ -45,6 +46,13 @@
 
 void Store::note(int status) {
   const auto now = runtime_.now();
+  if (status == 429) {
+    ++refused_;
+    if (refusals_told_at_ == TimePoint{} || now - refusals_told_at_ > kRefusalsToldEvery) {
+      refusals_told_at_ = now;
+      log::info("the state service's limits are reached: {} requests refused so far", refused_);
+    }
+  }
   // 429 shows a service that works.
   if (status != 0 && status != 503) {
     last_ok_ = now;
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -97,7 +97,8 @@
   std::deque<Write> writes_[4];
   std::size_t reads_in_flight_ = 0, writes_in_flight_ = 0;
   bool wake_set_ = false;
-  TimePoint last_ok_{}, first_bad_{};
+  TimePoint last_ok_{}, first_bad_{}, refusals_told_at_{};
+  std::uint64_t refused_ = 0;
 };
 
 }  // namespace asterstair::store
--- a/tests/edges_test.cpp
+++ b/tests/edges_test.cpp
@@ -229,6 +229,31 @@
   EXPECT_EQ(server->connections(), 1U);
 }
 
+// Connections that idle to many addresses make room for others.
+TEST_F(Http, IdleConnectionsGiveWay) {
+  net::HttpServer wide(&loop, net::HttpServer::Limits{40, 1024, 5s, 5s},
+                       [](const HttpRequest&, const net::Respond& respond) {
+                         respond({200, "{}"});
+                       });
+  int port = server_port;
+  for (bool taken = true; taken;) {
+    try {
+      wide.listen("0.0.0.0:" + std::to_string(++port));
+      taken = false;
+    } catch (const std::runtime_error&) {
+      continue;
+    }
+  }
+  net::HttpClient client(&loop, 8);
+  for (int i = 1; i <= 20; ++i) {
+    int status = -1;
+    client.send("127.0.0." + std::to_string(i) + ":" + std::to_string(port), {"GET", "/", ""}, 5s,
+                [&](const HttpResponse& r) { status = r.status; });
+    run_until([&] { return status != -1; });
+    EXPECT_EQ(status, 200) << "address " << i;
+  }
+}
+
 TEST_F(Http, NoServerIsNoAnswer) {
   net::HttpClient client(&loop, 8);
   int status = -1;
