--- a/src/fleet/machines.hpp
+++ b/src/fleet/machines.hpp
@@ -73,7 +73,7 @@
   // its session.
   std::uint32_t unheard = 0, lapses = 0;
   std::optional<TimePoint> deaf_since;
-  TimePoint deaf_until{};
+  TimePoint deaf_until{}, lapsed_at{};
   std::set<std::string> failed_jobs;  // since its last success
   std::uint32_t failures = 0;
   TimePoint idle_since{};
--- a/src/fleet/reports.cpp
+++ b/src/fleet/reports.cpp
@@ -70,9 +70,12 @@
     return {200, wire::encode_commands(token_, {})};
   }
   if (!m.rostered) roster_waiting_.insert(m.id);
-  // A cut may cost one session. Losing one after the other while reports arrive shows that answers
-  // do not.
-  if (lapsed && ++m.lapses >= kLapses) seems_deaf(m);
+  // A cut may cost sessions, of which all is heard at once when it ends. Losing one after the other
+  // while reports arrive shows that answers do not.
+  if (lapsed && now - m.lapsed_at > settings_.lease / 2) {
+    m.lapsed_at = now;
+    if (++m.lapses >= kLapses) seems_deaf(m);
+  }
   handle(m, events);
   check_hearing(m, events);
   check_notice(m);
