--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -137,6 +137,7 @@
   std::uint64_t live_revision_ = 0;
   Jobs jobs_;
   Machines machines_;
+  std::set<std::string> gone_;  // returned during this term
   // Versions of the keys that only the leader writes. A write that was never answered may be
   // carried out late; being conditional on the version, it cannot then undo a newer one.
   std::map<std::string, std::uint64_t> versions_;
--- a/src/fleet/moving.cpp
+++ b/src/fleet/moving.cpp
@@ -12,6 +12,7 @@
 
 constexpr Seconds kEndsSoon{15};
 constexpr auto kMoveEvery = 30s;
+constexpr std::size_t kMostGone = 5000;
 constexpr double kMoveWorth = 4;
 constexpr std::size_t kMostEmptied = 6;  // machines at a time: their tasks all restart
 // A task that outlasts its estimate goes on, as a rule, for a share of what it has run.
@@ -115,6 +116,9 @@
   handle(*m, events);
   refresh(*m);
   machines_.erase(id);
+  // Names come in the order of the rentals: the oldest are the least likely to be heard of again.
+  gone_.insert(id);
+  if (gone_.size() > kMostGone) gone_.erase(gone_.begin());
   check_settled();
 }
 
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -83,6 +83,39 @@
   EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
 }
 
+// Nor may they bring back a machine that has been returned: work would be planned for it.
+TEST(LateCopies, DoNotBringBackAReturnedMachine) {
+  Scenario s(28);
+  s.submit(array(1, 5));
+  std::string report, address, host;
+  s.world.tamper = [&](const std::string& to, const HttpRequest& request, HttpResponse& r) {
+    if (request.target != "/v1/report" || r.status != 200) return;
+    report = request.body;
+    address = to;
+    host = Json::parse(report)["host"];
+  };
+  s.world.run_until(120);
+  ASSERT_FALSE(report.empty());
+  ASSERT_TRUE(s.cloud.running().empty()) << "not returned";
+  s.world.tamper = nullptr;
+  const auto id = s.submit(array(2, 5));
+  std::size_t orders = 0;
+  for (int i = 0; i < 40; ++i) {
+    // Each looks newer than the one before.
+    auto copy = Json::parse(report);
+    copy["tick"] = copy["tick"].get<int>() + i;
+    s.world.at(to_duration(Seconds(0.25 * i)), [&, body = copy.dump()] {
+      s.world.http("copies", address, {"POST", "/v1/report", body}, 4s, [&](const HttpResponse& r) {
+        const auto in = Json::parse(r.body, nullptr, false);
+        if (in.is_object() && in.contains("orders")) orders += in["orders"].size();
+      });
+    });
+  }
+  s.world.run_until(200);
+  EXPECT_EQ(orders, 0U);
+  EXPECT_EQ(s.checker.final_of(id), "done");
+}
+
 class MachineView : public testing::Test {
  protected:
   static WorkerReport report(std::uint64_t session, std::uint64_t seq,
