A write handle is not used again before its callback; idle connections give way to newcomers

Ruled out: the accept path and running out of sockets, though 2,410 were in use: while a node stands still, its backlog fills what the bound leaves. Also: failures inside send() are answered from the loop; above 7/8 of the bound answers close their connection, at the bound the longest idle one gives way (2,030 workers against 1,958 places).

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -36,6 +36,7 @@
     net::HttpServer::Limits limits;
     // The rest is for the node's own connections: state service, cloud, siblings.
     limits.connections = settings.max_connections * 13 / 16;
+    limits.kept = limits.connections * 7 / 8;
     net::HttpServer server(runtime.loop(), limits, [&](HttpRequest request, net::Respond respond) {
       node.handle(std::move(request), respond);
     });
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -26,6 +26,7 @@
   uv_write_t write{};
   http_parser parser{};
   bool connected = false, closing = false, busy = false, got_bytes = false;
+  bool writing = false;  // `write` is the loop's until its callback
   int handles = 2;
   std::uint64_t idle_since = 0;  // a count of turns
   HttpRequest request;
@@ -186,7 +187,18 @@
             });
         conn->owner->start(conn);
       });
-  if (e != 0) finish(c, HttpResponse{}, false);
+  if (e != 0) fail_soon(c);
+}
+
+// Answered from the loop, never from inside the call: callers need not be re-entrant.
+void HttpClient::fail_soon(Connection* c) {
+  uv_timer_start(
+      &c->timer,
+      [](uv_timer_t* t) {
+        auto* conn = static_cast<Connection*>(t->data);
+        conn->owner->finish(conn, HttpResponse{}, false);
+      },
+      1, 0);
 }
 
 void HttpClient::start(Connection* c) {
@@ -205,11 +217,16 @@
   const int e = uv_write(&c->write, reinterpret_cast<uv_stream_t*>(&c->tcp), &b, 1,
                          [](uv_write_t* w, int status) {
                            auto* conn = static_cast<Connection*>(w->data);
+                           conn->writing = false;
                            if (status != 0 && !conn->closing) {
                              conn->owner->finish(conn, HttpResponse{}, false);
                            }
                          });
-  if (e != 0) finish(c, HttpResponse{}, false);
+  if (e != 0) {
+    fail_soon(c);
+  } else {
+    c->writing = true;
+  }
 }
 
 void HttpClient::finish(Connection* c, HttpResponse response, bool reusable) {
@@ -221,7 +238,10 @@
   c->done = nullptr;
   const std::string address = c->address;
   auto& idle = idle_[address];
-  if (reusable && idle.size() < kMostIdlePerAddress) {
+  // An answer may come before the request's write is called back: when it was given without
+  // reading the request, or when more events wait than one look at the loop takes. The write
+  // handle must not be used for the next request until then.
+  if (reusable && !c->writing && idle.size() < kMostIdlePerAddress) {
     c->idle_since = ++turns_;
     idle.push_back(c);
   } else {
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -24,6 +24,7 @@
   friend struct Connection;
 
   void start(Connection* connection);
+  void fail_soon(Connection* connection);
   void finish(Connection* connection, HttpResponse response, bool reusable);
   void release(Connection* connection);
   void close_longest_idle();
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -51,7 +51,8 @@
   http_parser parser{};
   int handles = 2;
   bool closing = false, busy = false, in_request = false, complete = false, too_large = false;
-  bool keep = true, paused = false;
+  bool keep = true, idle = false;
+  std::list<Connection*>::iterator idle_at;
   HttpRequest request;
   std::string pending;  // bytes that came while a request was being answered
   std::string outgoing;
@@ -91,12 +92,14 @@
   c->tcp.data = c->timer.data = c->write.data = c->parser.data = c;
   connections_.insert(c);
   live_.insert(c->id);
-  if (uv_accept(reinterpret_cast<uv_stream_t*>(&listener_),
-                reinterpret_cast<uv_stream_t*>(&c->tcp)) != 0 ||
-      connections_.size() > limits_.connections) {
+  const int e = uv_accept(reinterpret_cast<uv_stream_t*>(&listener_),
+                          reinterpret_cast<uv_stream_t*>(&c->tcp));
+  if (e == 0 && connections_.size() > limits_.connections) make_room();
+  if (e != 0 || connections_.size() > limits_.connections) {
     close(c);
     return;
   }
+  set_idle(c, true);
   uv_tcp_nodelay(&c->tcp, 1);
   http_parser_init(&c->parser, HTTP_REQUEST);
   arm(c, limits_.idle_time);
@@ -123,6 +126,22 @@
       });
 }
 
+// Hundreds of workers hold a connection each, and more may come than there are sockets: those that
+// wait for nothing must not keep users out.
+void HttpServer::make_room() {
+  if (!idle_.empty()) close(idle_.front());
+}
+
+void HttpServer::set_idle(Connection* c, bool idle) {
+  if (c->idle == idle) return;
+  c->idle = idle;
+  if (idle) {
+    c->idle_at = idle_.insert(idle_.end(), c);
+  } else {
+    idle_.erase(c->idle_at);
+  }
+}
+
 void HttpServer::arm(Connection* c, Duration time) {
   uv_timer_start(
       &c->timer,
@@ -136,6 +155,7 @@
 void HttpServer::close(Connection* c) {
   if (c->closing) return;
   c->closing = true;
+  set_idle(c, false);
   connections_.erase(c);
   live_.erase(c->id);
   const auto closed = [](uv_handle_t* h) {
@@ -190,6 +210,7 @@
   }();
   if (!c->in_request) {
     c->in_request = true;
+    set_idle(c, false);
     arm(c, limits_.request_time);
   }
   const auto used = http_parser_execute(&c->parser, &kSettings, data, size);
@@ -225,6 +246,7 @@
   if (response.retry_after) {
     c->outgoing += "Retry-After: " + std::to_string(response.retry_after->count()) + "\r\n";
   }
+  if (connections_.size() > limits_.kept) c->keep = false;
   if (!c->keep) c->outgoing += "Connection: close\r\n";
   c->outgoing += "\r\n";
   c->outgoing += response.body;
@@ -240,6 +262,7 @@
         }
         k->busy = false;
         k->in_request = false;
+        k->owner->set_idle(k, true);
         k->owner->arm(k, k->owner->limits_.idle_time);
         if (!k->pending.empty()) {
           const std::string more = std::move(k->pending);
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -5,6 +5,7 @@
 #include <uv.h>
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
 #include <unordered_set>
@@ -23,6 +24,9 @@
     std::size_t body = std::size_t{64} * 1024;
     Duration request_time = 10s;  // from a request's first byte to its last
     Duration idle_time = 120s;
+    // Above so many, answers ask for the connection to be closed: most clients hold one that they
+    // use for moments only. At the bound the longest idle gives way, so that newcomers are served.
+    std::size_t kept = 500;
   };
 
   HttpServer(uv_loop_t* loop, Limits limits, Handler handler);
@@ -34,6 +38,8 @@
   struct Connection;
 
   void accept();
+  void make_room();
+  void set_idle(Connection* connection, bool idle);
   void arm(Connection* connection, Duration time);
   void close(Connection* connection);
   void dispatch(Connection* connection);
@@ -46,6 +52,7 @@
   uv_tcp_t listener_{};
   std::unordered_set<Connection*> connections_;
   std::unordered_set<std::uint64_t> live_;
+  std::list<Connection*> idle_;  // between requests, the longest first
   std::uint64_t next_id_ = 1;
 };
 
--- a/tests/edges_test.cpp
+++ b/tests/edges_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -163,7 +164,7 @@
     // them: try a few.
     for (int port = 20000 + getpid() % 20000; server_port == 0; ++port) {
       server = std::make_unique<net::HttpServer>(
-          &loop, net::HttpServer::Limits{4, 1024, 300ms, 300ms},
+          &loop, net::HttpServer::Limits{4, 1024, 300ms, 300ms, 3},
           [this](HttpRequest r, const net::Respond& respond) {
             ++served;
             respond({r.target == "/missing" ? 404 : 200, r.method + " " + r.body,
@@ -231,7 +232,7 @@
 
 // Connections that idle to many addresses make room for others.
 TEST_F(Http, IdleConnectionsGiveWay) {
-  net::HttpServer wide(&loop, net::HttpServer::Limits{40, 1024, 5s, 5s},
+  net::HttpServer wide(&loop, net::HttpServer::Limits{40, 1024, 5s, 5s, 40},
                        [](const HttpRequest&, const net::Respond& respond) {
                          respond({200, "{}"});
                        });
@@ -285,12 +286,54 @@
   EXPECT_EQ(served, 2);
 }
 
-TEST_F(Http, HoldsItsConnectionLimit) {
+// A fleet may have more workers than a node has sockets: idle connections give way, busy ones do
+// not, and whoever comes is served.
+TEST_F(Http, HoldsItsConnectionLimitAndServesNewcomers) {
   std::vector<int> fds;
   for (int i = 0; i < 8; ++i) fds.push_back(connect_raw(""));
   run_until([&] { return server->connections() == 4; });
   EXPECT_LE(server->connections(), 4U);
+  const auto out = read_raw(connect_raw("GET /a HTTP/1.1\r\n\r\n"));
+  EXPECT_NE(out.find("200 OK"), std::string::npos);
+  EXPECT_NE(out.find("Connection: close"), std::string::npos) << "kept open near the bound";
+  EXPECT_LE(server->connections(), 4U);
+  for (const int fd : fds) close(fd);
+}
+
+// The answer is there before the request has been written: the write handle is still the loop's.
+// Using it again corrupted memory when more than a thousand events waited after a standstill.
+TEST_F(Http, AnEarlyAnswerDoesNotReuseAWriteUnderWay) {
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  ASSERT_EQ(bind(listener, reinterpret_cast<sockaddr*>(&a), sizeof a), 0);
+  ASSERT_EQ(listen(listener, 8), 0);
+  socklen_t size = sizeof a;
+  getsockname(listener, reinterpret_cast<sockaddr*>(&a), &size);
+  const std::string to = "127.0.0.1:" + std::to_string(ntohs(a.sin_port));
+
+  net::HttpClient client(&loop, 8);
+  int answers = 0;
+  const HttpRequest large{"POST", "/x", std::string(std::size_t{64} << 20U, 'x')};
+  const auto count = [&](const HttpResponse& r) { answers += r.status == 200 ? 1 : 0; };
+  client.send(to, large, 20s, [&](const HttpResponse& r) {
+    count(r);
+    client.send(to, large, 20s, count);
+  });
+  std::vector<int> fds;
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  for (int i = 1; i <= 2; ++i) {
+    pollfd p{listener, POLLIN, 0};
+    run_until([&] { return poll(&p, 1, 0) > 0; });
+    ASSERT_GT(poll(&p, 1, 0), 0) << "no connection of its own for request " << i;
+    fds.push_back(accept(listener, nullptr, nullptr));
+    ASSERT_EQ(write(fds.back(), answer.data(), answer.size()), static_cast<ssize_t>(answer.size()));
+    run_until([&] { return answers == i; });
+  }
+  EXPECT_EQ(answers, 2);
   for (const int fd : fds) close(fd);
+  close(listener);
 }
 
 }  // namespace
