Followers watch the leader's key from a revision the state service still remembers

After 10,000 changes the key's own version is too old to watch from: 410 at once, read again, and so on, on every follower. A list tells a revision to watch from. Test: Followers.KeepWatchingWhenTheLeaderKeyIsOld, seen to fail without it.

--- a/src/leader/election.cpp
+++ b/src/leader/election.cpp
@@ -1,5 +1,7 @@
 #include "leader/election.hpp"
 
+#include <algorithm>
+
 #include "base/log.hpp"
 
 namespace asterstair::leader {
@@ -32,45 +34,49 @@
 
 void Election::check() {
   const auto epoch = ++epoch_;
-  store_.get(store::kLeaderKey, [this, epoch](const store::ReadResult& r) {
+  // Listed, not read by its name: a list tells the revision to watch from. The key's own version
+  // falls out of what the service remembers once enough else has changed, and a watch from there
+  // is turned away each time.
+  store_.list(store::kLeaderKey, [this, epoch](const store::ListResult& r) {
     if (epoch != epoch_ || leading()) return;
-    if (r.outcome == store::ReadOutcome::Unavailable) {
+    if (!r.ok) {
       check_later(kCheckRetry);
       return;
     }
-    if (r.outcome == store::ReadOutcome::Missing) {
+    if (r.items.empty()) {
       leader_.clear();
       claim(0);
       return;
     }
+    const auto& item = r.items.front();
     store::LeaderRecord record;
     try {
-      record = store::decode_leader(*r.item.value);
+      record = store::decode_leader(*item.value);
     } catch (const wire::BadMessage& e) {
       log::error("leader key is malformed: {}", e.what());
     }
     if (record.node == node_) {
       if (pending_claim_ != 0 && record.claim == pending_claim_) {
-        lead(r.item.version, pending_grant_, pending_since_);
+        lead(item.version, pending_grant_, pending_since_);
       } else {
         // An earlier process of this node held it, and has ended: a node runs one process. The
         // claim writes the key, so late transactions of that process fail.
-        claim(r.item.version);
+        claim(item.version);
       }
       return;
     }
     leader_ = record.node;
-    follow(r.item.version);
+    follow(r.revision);
   });
 }
 
-void Election::follow(std::uint64_t version) {
+void Election::follow(std::uint64_t after) {
   const auto epoch = ++epoch_;
-  store_.watch(store::kLeaderKey, version, kWatchWait,
-               [this, epoch, version](const store::WatchResult& r) {
+  store_.watch(store::kLeaderKey, after, kWatchWait,
+               [this, epoch, after](const store::WatchResult& r) {
                  if (epoch != epoch_) return;
                  if (r.outcome == store::WatchResult::Outcome::Events && r.events.items.empty()) {
-                   follow(version);
+                   follow(std::max(after, r.events.revision));
                  } else if (r.outcome == store::WatchResult::Outcome::Unavailable) {
                    check_later(kCheckRetry);
                  } else {
--- a/src/leader/election.hpp
+++ b/src/leader/election.hpp
@@ -33,7 +33,7 @@
  private:
   void check();
   void check_later(Duration delay);
-  void follow(std::uint64_t version);
+  void follow(std::uint64_t after);
   void claim(std::uint64_t expected_version);
   void lead(std::uint64_t token, std::uint64_t grant, TimePoint touched);
   void touch();
--- a/tests/sim/state.hpp
+++ b/tests/sim/state.hpp
@@ -26,7 +26,8 @@
     }
   }
   const std::map<std::string, std::pair<Json, std::uint64_t>>& keys() const { return keys_; }
-  std::uint64_t writes = 0;
+  std::uint64_t writes = 0, watches_opened = 0;
+  std::size_t kept_changes = 10000;  // a watch from before them gets 410
 
  private:
   struct Grant {
@@ -167,6 +168,15 @@
   }
 
   void add_watch(const HttpRequest& r, const Respond& respond) {
+    ++watches_opened;
+    while (changes_.size() > kept_changes) {
+      forgotten_ = changes_.front().revision;
+      changes_.pop_front();
+    }
+    if (!down_ && std::stoull(param(r.target, "since")) < forgotten_) {
+      respond({410, Json{{"ledger", revision_}}.dump()});
+      return;
+    }
     watches_.push_back({param(r.target, "prefix"), std::stoull(param(r.target, "since")),
                         world_.now() + milliseconds(std::stoi(param(r.target, "blockMs"))),
                         respond});
@@ -207,7 +217,7 @@
 
   World& world_;
   bool down_ = false;
-  std::uint64_t revision_ = 1, next_grant_ = 0;
+  std::uint64_t revision_ = 1, next_grant_ = 0, forgotten_ = 0;
   std::map<std::string, std::pair<Json, std::uint64_t>> keys_;
   std::map<std::string, std::uint64_t> attached_;
   std::map<std::uint64_t, Grant> grants_;
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -278,4 +278,20 @@
   EXPECT_GT(s.checker.starts, 2000U);
 }
 
+// The state service remembers so many changes only. Followers watch the leader's key, which seldom
+// changes: watching from its version was turned away at once, again and again, by all of them.
+TEST(Followers, KeepWatchingWhenTheLeaderKeyIsOld) {
+  Scenario s(31);
+  s.state.kept_changes = 20;
+  for (int i = 0; i < 40; ++i) {
+    s.world.at(to_duration(Seconds(i)), [&s] { s.submit(array(2, 5)); });
+  }
+  s.world.run_until(60);
+  const auto before = s.state.watches_opened;
+  s.world.run_until(120);
+  // Two followers open one in 10 s each, the leader one in 5 s, and more when jobs end.
+  EXPECT_LT(s.state.watches_opened - before, 100U);
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+}
+
 }  // namespace
