--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -12,6 +12,8 @@
 constexpr auto kTick = 250ms;
 constexpr auto kSumUpEvery = 10s;
 constexpr auto kSizesEvery = 1s;
+constexpr auto kReportPatience = 500ms;  // beyond the longest time between a worker's reports
+constexpr std::ptrdiff_t kSeveral = 3;
 constexpr auto kFlushEvery = 3s;  // of a job's progress
 
 }  // namespace
@@ -24,7 +26,8 @@
       settings_(settings),
       catalog_(catalog),
       token_(election.token()),
-      elected_at_(runtime.now()) {}
+      elected_at_(runtime.now()),
+      heard_at_(runtime.now()) {}
 
 void Fleet::start() {
   load();
@@ -88,6 +91,16 @@
          now - m.last_report < settings_.report_every * 5 / 2 + 1s;
 }
 
+bool Fleet::hears_nobody() const {
+  if (!loaded_ || runtime_.now() - heard_at_ < settings_.report_every * 5 / 4 + kReportPatience) {
+    return false;
+  }
+  const auto& all = machines_.all();
+  return std::count_if(all.begin(), all.end(), [](const auto& m) {
+           return !m.second.silent && (m.second.reported || m.second.rostered);
+         }) >= kSeveral;
+}
+
 double Fleet::cache_gb(const std::string& type) const {
   const auto* t = catalog_.find(type);
   return t == nullptr ? 0 : t->cache_gb;
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -55,6 +55,9 @@
 
   bool loaded() const { return loaded_; }
   bool settled() const { return settled_; }
+  // Whether no report has come for so long, from several machines, that they cannot all be at
+  // fault.
+  bool hears_nobody() const;
   // Whether the machine may be given new work.
   bool usable(const Machine& machine) const;
   const std::vector<Demand>& demand() const { return demand_; }
@@ -132,7 +135,7 @@
   const cloud::Catalog& catalog_;
 
   std::uint64_t token_ = 0, attempts_ = 0;
-  TimePoint elected_at_{}, view_at_{}, next_plan_{}, next_preempt_{}, summed_up_at_{};
+  TimePoint elected_at_{}, heard_at_{}, view_at_{}, next_plan_{}, next_preempt_{}, summed_up_at_{};
   bool stopped_ = false, loaded_ = false, settled_ = false, plan_wanted_ = false, plan_due_ = false;
   std::uint64_t live_revision_ = 0;
   Jobs jobs_;
--- a/src/leader/election.cpp
+++ b/src/leader/election.cpp
@@ -13,6 +13,7 @@
 constexpr auto kTouchRetry = 300ms;
 constexpr auto kCheckRetry = 400ms;
 constexpr auto kWatchWait = 10s;
+constexpr auto kStandBack = 5s;
 
 }  // namespace
 
@@ -43,12 +44,21 @@
       check_later(kCheckRetry);
       return;
     }
+    const bool stand_back = runtime_.now() < stand_back_until_;
     if (r.items.empty()) {
       leader_.clear();
-      claim(0);
+      if (stand_back) {
+        check_later(kCheckRetry);
+      } else {
+        claim(0);
+      }
       return;
     }
     const auto& item = r.items.front();
+    if (vacant_ != 0 && item.version == vacant_) {
+      claim(item.version);
+      return;
+    }
     store::LeaderRecord record;
     try {
       record = store::decode_leader(*item.value);
@@ -58,6 +68,8 @@
     if (record.node == node_) {
       if (pending_claim_ != 0 && record.claim == pending_claim_) {
         lead(item.version, pending_grant_, pending_since_);
+      } else if (stand_back) {
+        check_later(kCheckRetry);
       } else {
         // An earlier process of this node held it, and has ended: a node runs one process. The
         // claim writes the key, so late transactions of that process fail.
@@ -151,8 +163,24 @@
   });
 }
 
+void Election::resign() {
+  if (!leading()) return;
+  log::info("token {} is given up", token_);
+  resigned_ = token_;
+  stand_back_until_ = runtime_.now() + kStandBack;
+  store_.drop_grant(grant_);
+  lose();
+}
+
+void Election::succeed(std::uint64_t resigned_token) {
+  if (leading() || resigned_token <= vacant_) return;
+  vacant_ = resigned_token;
+  leader_.clear();
+  check();
+}
+
 void Election::lose() {
-  log::info("no longer leading; the grant of token {} is gone", token_);
+  log::info("no longer leading; token {} is void", token_);
   token_ = 0;
   grant_ = 0;
   leader_.clear();
--- a/src/leader/election.hpp
+++ b/src/leader/election.hpp
@@ -22,6 +22,13 @@
   Election(Runtime& runtime, store::Store& store, const Settings& settings, Events events);
   void start();
 
+  // Gives leadership up for good: nothing is done under this token any more. A sibling that hears
+  // of it may take the key over at once, see succeed().
+  void resign();
+  // A sibling has given up this token, so the key at that version may be claimed.
+  void succeed(std::uint64_t resigned_token);
+  std::uint64_t resigned() const { return resigned_; }
+
   bool leading() const { return token_ != 0; }
   bool entitled() const { return leading() && runtime_.now() < entitled_until_; }
   std::uint64_t token() const { return token_; }
@@ -45,6 +52,9 @@
   Duration ttl_;
   Events events_;
   std::uint64_t token_ = 0, grant_ = 0;
+  std::uint64_t resigned_ = 0;    // the latest that this node has given up
+  std::uint64_t vacant_ = 0;      // the latest that a sibling has
+  TimePoint stand_back_until_{};  // others are to claim first
   std::uint64_t pending_claim_ = 0, pending_grant_ = 0;
   TimePoint pending_since_{}, entitled_until_{};
   std::string leader_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -11,6 +11,7 @@
 constexpr auto kHeardWithin = 3s;
 constexpr auto kTypesEvery = 60s, kTypesRetry = 2s;
 constexpr auto kProbeEvery = 1s;
+constexpr auto kStoreLost = 4s;
 constexpr std::size_t kMostCounts = 2000;
 
 HttpResponse failure(int status, std::string_view message) {
@@ -90,6 +91,12 @@
   hint.leader = election_.leader();
   hint.token = election_.token();
   hint.sees_store = !store_.seems_down();
+  if (store_.last_answer() != TimePoint{}) {
+    const auto age =
+        std::chrono::duration_cast<milliseconds>(runtime_.now() - store_.last_answer());
+    hint.store_age_ms = static_cast<std::uint32_t>(std::min<std::int64_t>(age.count(), UINT32_MAX));
+  }
+  hint.resigned = election_.resigned();
   if (fleet_) {
     std::unordered_map<std::string, frontend::Counts> counts;
     for (const auto& c : fleet_->counts()) {
@@ -101,6 +108,29 @@
   }
   const std::string message = wire::encode_hint(hint);
   for (const auto& [node, s] : siblings_) runtime_.send_peer(node, message);
+  check_leadership();
+}
+
+// A leader that has lost the state service or the workers, alone, would hold its grant while
+// nothing starts or leases run out. A sibling that is better off takes over as soon as it hears of
+// it.
+void Node::check_leadership() {
+  if (!fleet_) return;
+  const auto now = runtime_.now();
+  const bool store_lost =
+      store_.failing_since() != TimePoint{} && now - store_.failing_since() > kStoreLost;
+  const bool workers_lost = fleet_->hears_nobody() && store_.heard_lately(kHeardWithin);
+  if (!store_lost && !workers_lost) return;
+  for (const auto& [node, s] : siblings_) {
+    if (s.heard == TimePoint{} || now - s.heard > kHeardWithin || !s.sees_store) continue;
+    // Answered there after it first failed here: an outage would be the same for all, and must not
+    // cost the leader its entitlement.
+    if (store_lost && s.store_answered <= store_.failing_since()) continue;
+    log::info("{} is better off: the {} here", node,
+              store_lost ? "state service does not answer" : "workers are not heard");
+    election_.resign();
+    return;
+  }
 }
 
 void Node::peer_message(const std::string& message) {
@@ -110,6 +140,10 @@
   if (it == siblings_.end()) return;
   it->second.heard = runtime_.now();
   it->second.sees_store = hint->sees_store;
+  if (hint->store_age_ms != UINT32_MAX) {
+    it->second.store_answered = runtime_.now() - milliseconds(hint->store_age_ms);
+  }
+  if (hint->resigned != 0) election_.succeed(hint->resigned);
   if (hint->leader == hint->node && hint->token >= hinted_token_) {
     hinted_leader_ = hint->node;
     hinted_token_ = hint->token;
@@ -146,6 +180,13 @@
   if (!election_.leading()) {
     std::string leader = election_.leader();
     if (leader.empty()) leader = hinted_leader_;
+    // One that has fallen silent is not recommended: each try of it costs a worker seconds of its
+    // lease, and going round finds whoever takes over.
+    const auto s = siblings_.find(leader);
+    if (s != siblings_.end() && s->second.heard != TimePoint{} &&
+        runtime_.now() - s->second.heard > kHeardWithin) {
+      leader.clear();
+    }
     respond({421, wire::encode_not_leader(leader == settings_.node ? "" : leader)});
     return;
   }
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -31,6 +31,7 @@
   struct Sibling {
     TimePoint heard{};
     bool sees_store = false;
+    TimePoint store_answered{};  // it, the last that is known of
   };
 
   void elected();
@@ -38,6 +39,7 @@
   void share_hints();
   void learn_types();
   void probe_store();
+  void check_leadership();
   HttpResponse ready() const;
   void report(const std::string& body, const std::function<void(HttpResponse)>& respond);
 
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -59,6 +59,9 @@
 
   // Whether requests have failed for a while with none served in between.
   bool seems_down() const;
+  // Since when, if so; and when a request was last answered.
+  TimePoint failing_since() const { return first_bad_; }
+  TimePoint last_answer() const { return last_ok_; }
   // Whether a request was answered within the last moments.
   bool heard_lately(Duration within) const;
 
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -5,15 +5,17 @@
 namespace asterstair::wire {
 namespace {
 
-constexpr std::uint32_t kVersion = 1;
-using Packed = std::tuple<std::uint32_t, std::string, std::string, std::uint64_t, bool,
-                          std::vector<std::tuple<std::string, std::uint32_t, std::uint32_t>>>;
+constexpr std::uint32_t kVersion = 2;
+using Packed =
+    std::tuple<std::uint32_t, std::string, std::string, std::uint64_t, bool, std::uint32_t,
+               std::uint64_t, std::vector<std::tuple<std::string, std::uint32_t, std::uint32_t>>>;
 
 }  // namespace
 
 std::string encode_hint(const PeerHint& hint) {
-  Packed packed{kVersion, hint.node, hint.leader, hint.token, hint.sees_store, {}};
-  auto& counts = std::get<5>(packed);
+  Packed packed{kVersion,        hint.node,         hint.leader,   hint.token,
+                hint.sees_store, hint.store_age_ms, hint.resigned, {}};
+  auto& counts = std::get<7>(packed);
   counts.reserve(hint.counts.size());
   for (const auto& c : hint.counts) counts.emplace_back(c.job, c.done, c.running);
   msgpack::sbuffer out;
@@ -26,9 +28,14 @@
     const auto handle = msgpack::unpack(message.data(), message.size());
     const auto packed = handle.get().as<Packed>();
     if (std::get<0>(packed) != kVersion) return std::nullopt;
-    PeerHint out{
-        std::get<1>(packed), std::get<2>(packed), std::get<3>(packed), std::get<4>(packed), {}};
-    for (const auto& [job, done, running] : std::get<5>(packed)) {
+    PeerHint out{std::get<1>(packed),
+                 std::get<2>(packed),
+                 std::get<3>(packed),
+                 std::get<4>(packed),
+                 std::get<5>(packed),
+                 std::get<6>(packed),
+                 {}};
+    for (const auto& [job, done, running] : std::get<7>(packed)) {
       out.counts.push_back({job, done, running});
     }
     return out;
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -294,4 +294,70 @@
   EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
 }
 
+// A leader that alone loses the state service would keep its grant for many seconds in which
+// nothing that others accept starts.
+TEST(HandOver, WhenTheLeaderAloneLosesTheStateService) {
+  Scenario s(32, 3, 5);
+  s.submit(array(4, 30));
+  s.world.run_until(30);
+  const int first = s.leader();
+  ASSERT_GE(first, 0);
+  s.world.refuse(s.name(first), "state", true);
+  s.world.run_until(38);
+  EXPECT_GE(s.leader(), 0);
+  EXPECT_NE(s.leader(), first);
+  s.world.run_until(42);
+  const auto before = s.checker.starts;
+  const auto id = s.submit(array(1, 5));
+  s.world.run_until(70);
+  EXPECT_GT(s.checker.starts, before);
+  EXPECT_EQ(s.checker.final_of(id), "done");
+  s.world.refuse(s.name(first), "state", false);
+  s.world.run_until(90);
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+}
+
+// An outage is the same for all: giving up would cost the entitlement that carries the work over.
+TEST(HandOver, NotInAnOutageForAll) {
+  Scenario s(33, 3, 5);
+  s.submit(array(4, 60));
+  s.world.run_until(30);
+  const int first = s.leader();
+  ASSERT_GE(first, 0);
+  s.state.outage(true);
+  for (int t = 31; t <= 44; ++t) {
+    s.world.run_until(t);
+    ASSERT_EQ(s.leader(), first) << "at " << t << " s";
+  }
+  s.state.outage(false);
+  s.world.run_until(60);
+  EXPECT_EQ(s.leader(), first);
+}
+
+// A leader that no worker reaches renews its grant for ever: every lease would run out.
+TEST(HandOver, WhenTheLeaderAloneLosesTheWorkers) {
+  Scenario s(34, 3, 5);
+  for (int i = 0; i < 6; ++i) s.submit(array(6, 200));
+  s.world.run_until(40);
+  const int first = s.leader();
+  ASSERT_GE(first, 0);
+  const auto machines = s.cloud.running();
+  ASSERT_GE(machines.size(), 3U);
+  std::map<std::string, std::uint32_t> sessions;
+  for (const auto& m : machines) {
+    sessions[m->id] = m->session();
+    s.world.deafen(s.name(first), m->id, true);
+    s.world.deafen(m->id, s.name(first), true);
+  }
+  s.world.run_until(100);
+  EXPECT_GE(s.leader(), 0);
+  EXPECT_NE(s.leader(), first);
+  std::size_t kept = 0;
+  for (const auto& m : machines) kept += !m->ended && m->session() == sessions[m->id] ? 1 : 0;
+  EXPECT_EQ(kept, machines.size()) << "leases ran out";
+  s.world.hear_again();
+  s.world.run_until(400);
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+}
+
 }  // namespace
