--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -88,8 +88,8 @@
         const double price =
             (spot ? t.spot_price : t.price) * again / std::floor(per_machine + 1e-6);
         const bool plainer = best != nullptr && job.gpus <= 0 && best->gpus <= 0 && t.gpus > 0;
-        // Work within a guarantee need not wait: what is up first, then what costs least.
-        const bool sooner = best != nullptr && d.guaranteed && t.boot != best->boot;
+        // What is to start at once takes what is up first, then what costs least.
+        const bool sooner = best != nullptr && d.urgent && t.boot != best->boot;
         const bool better = best == nullptr || (sooner ? t.boot < best->boot : price < best_price);
         if (!plainer && better) {
           best = &t;
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -27,7 +27,8 @@
   std::uint32_t tasks = 0;  // within the team's limit
   Seconds remaining{0};
   double slack = 0;
-  bool guaranteed = false;  // within its team's guarantee: it need not wait for other teams
+  // Within its team's guarantee, where the operator states how soon such work is to start.
+  bool urgent = false;
 };
 
 inline constexpr Duration kArrivalWindow = 90s;
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -167,6 +167,9 @@
       m.occupants.emplace(OccupantKey{attempt, o.task}, std::move(o));
     }
   }
+  const auto& aims = settings_.objectives;
+  const bool soon = std::any_of(aims.begin(), aims.end(),
+                                [](const Objective& o) { return o.kind == "guarantee"; });
   demand_.clear();
   for (const auto& [i, left] : plan.unplaced) {
     const auto& j = s.jobs[i];
@@ -180,7 +183,7 @@
     }
     if (n < 1) continue;
     demand_.push_back({planned_jobs_[i]->spec, static_cast<std::uint32_t>(n), j.remaining, j.slack,
-                       j.guaranteed});
+                       soon && j.guaranteed});
   }
   if (!plan.unplaced.empty() && now >= next_preempt_) {
     next_preempt_ = now + kPreemptEvery;
--- a/tests/autoscale_test.cpp
+++ b/tests/autoscale_test.cpp
@@ -60,12 +60,12 @@
   EXPECT_EQ(want({demand(5, 4, 0, false)}, coming)[0].count, 1U);
 }
 
-TEST_F(Wanting, TakesWhatIsUpFirstForGuaranteedWork) {
+TEST_F(Wanting, TakesWhatIsUpFirstForUrgentWork) {
   MachineType slow{"slow", 64, 8, 256, 50, 1, 6, 2, Seconds(60), {"a"}};
   catalog.set({slow});
   auto d = demand(8, 4, 1, false);
   EXPECT_EQ(want({d})[0].type, "slow");
-  d.guaranteed = true;
+  d.urgent = true;
   EXPECT_EQ(want({d})[0].type, "gpu");  // dearer, and up after 10 s
 }
 
