--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -161,7 +161,11 @@
          "must exceed lease_s by at least 4 s, so that a leader cut "
          "off from the state service stops in time");
   }
-  return std::min<Duration>(room, 20s);
+  // When a leader falls silent the workers should have found its successor before their leases run
+  // out. Where leases are too short for that in any case, a long grant outlasts more outages.
+  constexpr Duration kShortest = 10s, kLongest = 20s;
+  const Duration in_time = s.lease * 3 / 5;
+  return std::min<Duration>(room, in_time >= kShortest ? std::min(in_time, kLongest) : kLongest);
 }
 
 }  // namespace asterstair
--- a/tests/edges_test.cpp
+++ b/tests/edges_test.cpp
@@ -50,6 +50,23 @@
   EXPECT_LT(leader_ttl(s) + s.lease, s.cancel_within);
 }
 
+// A leader that falls silent is followed by another while the workers still hold their leases,
+// where these are long enough: a worker needs a time-out of 4 s and a round of the nodes to find
+// it.
+TEST(SettingsFile, GrantsEndWellBeforeLongLeases) {
+  auto text = sim::settings_text(0);
+  const auto lease = [&](const char* to) {
+    auto changed = text;
+    changed.replace(changed.find("lease_s = 10.0"), 14, to);
+    return parse_settings(changed);
+  };
+  const auto s = lease("lease_s = 20.0");
+  EXPECT_LE(leader_ttl(s) + 6s, s.lease);
+  EXPECT_GE(leader_ttl(s), 10s);
+  const auto longer = lease("lease_s = 26.5");
+  EXPECT_LE(leader_ttl(longer) + 6s, longer.lease);
+}
+
 const char* const kJob = R"({"ref":"req-000412","lane":"train","owner":"red","shape":"ensemble",
   "rank":"high","pieces":16,"cores":8.0,"accelerators":1.0,"ramGb":64.0,"bundle":"img-07","imageGb":6.2,
   "flavors":["g8"],"yard":null,"together":true,"scatter":false,"loaner":true,"expectS":240.0,
