Jobs of which nothing has begun for two minutes go first, arrays with a few tasks

Ruled out: reservations (arrays need one place only). An array goes first with 16 tasks, so that it begins without pushing the rest aside; a gang goes first whole. Test: LargestJobs.BeginWithinFourMinutesOnAFullFleet, seen to fail without it.

--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -14,6 +14,7 @@
 constexpr Duration kStepCost = 40ns;
 constexpr double kPlanShare = 0.25;
 constexpr Seconds kKeepFor{20};
+constexpr std::uint32_t kFirstTasks = 16;  // of an array that nothing has begun of for long
 constexpr auto kPreemptEvery = 300ms;
 
 }  // namespace
@@ -100,6 +101,9 @@
     p.remaining = remaining_of(job);
     p.waited = age_of(job);
     p.guaranteed = guaranteed;
+    p.starving = !job.first_started && p.waited > sched::kStarvingAfter;
+    // It is to begin, not to push everything else aside: an array's first tasks will do.
+    if (p.starving && !job.spec->gang()) p.waiting = std::min(p.waiting, kFirstTasks);
     p.slack = slack_of(job, p.remaining);
     p.work = p.remaining * static_cast<double>(job.unfinished());
     planned_jobs_.push_back(arrived);
@@ -171,10 +175,11 @@
   const bool soon = std::any_of(aims.begin(), aims.end(),
                                 [](const Objective& o) { return o.kind == "guarantee"; });
   demand_.clear();
-  for (const auto& [i, left] : plan.unplaced) {
+  for (const auto& unplaced : plan.unplaced) {
+    const auto i = unplaced.first;
     const auto& j = s.jobs[i];
     const auto& team = s.teams[j.job->team];
-    double n = left;
+    auto n = static_cast<double>(planned_jobs_[i]->waiting.size());
     if (team.max_cpus > 0 && j.job->cpus > 0) {
       n = std::min(n, (team.max_cpus - team.used.cpus) / j.job->cpus);
     }
--- a/src/sched/planner.cpp
+++ b/src/sched/planner.cpp
@@ -379,6 +379,8 @@
 bool precedes(const PlanJob& a, const PlanJob& b) {
   if (a.guaranteed != b.guaranteed) return a.guaranteed;
   if (a.job->priority != b.job->priority) return a.job->priority > b.job->priority;
+  if (a.starving != b.starving) return a.starving;
+  if (a.starving && a.waited != b.waited) return a.waited > b.waited;
   const bool a_late = a.slack < 0, b_late = b.slack < 0;
   if (a_late != b_late) return b_late;
   const double a_key = a.slack + kWorkWeight * load(a), b_key = b.slack + kWorkWeight * load(b);
--- a/src/sched/planner.hpp
+++ b/src/sched/planner.hpp
@@ -59,6 +59,7 @@
   Seconds work{0};                               // of all its unfinished tasks
   Seconds waited{0};
   bool guaranteed = false;                       // see Guarantees
+  bool starving = false;                         // nothing of it has begun for long
   double slack = 0;                              // seconds until it must start
   const std::set<std::size_t>* avoid = nullptr;  // machine refs it failed on
 };
@@ -103,9 +104,14 @@
   std::size_t steps = 0;
 };
 
-// Whether the job precedes the other: guarantees, priority, then those that can still be in time,
-// then the one with less work left on its tasks' dominant resource: users count jobs, and small
-// ones in front delay the large ones least.
+// Every job, the largest too, is to begin within four minutes: half of that is left to the order by
+// aims, which puts large and late ones last.
+inline constexpr Seconds kStarvingAfter{120};
+
+// Whether the job precedes the other: guarantees, priority, those about to miss their beginning
+// (the longest waiting first), then those that can still be in time, then the one with less work
+// left on its tasks' dominant resource: users count jobs, and small ones in front delay the large
+// ones least.
 bool precedes(const PlanJob& a, const PlanJob& b);
 
 bool allowed_on(const JobSpec& job, const PlanMachine& machine);
--- a/tests/sim/checker.hpp
+++ b/tests/sim/checker.hpp
@@ -163,6 +163,7 @@
   }
 
   void asks_cancel(const std::string& id) { asked_cancel_.insert(id); }
+  bool began(const std::string& id) const { return began_.count(id) != 0; }
   bool over(const std::string& id) const { return final_.count(id) != 0; }
   std::string final_of(const std::string& id) const {
     const auto it = final_.find(id);
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -371,4 +371,25 @@
   EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
 }
 
+// On a fleet that is full all day, smaller jobs that can still be in time go first; the largest
+// must begin within four minutes all the same.
+TEST(LargestJobs, BeginWithinFourMinutesOnAFullFleet) {
+  Scenario s(36, 1);
+  s.world.run_until(5);
+  for (int i = 0; i < 3; ++i) s.submit(array(60, 20));
+  s.world.run_until(20);
+  const auto large = s.submit(array(600, 20));
+  auto gang = array(6, 20);
+  gang.spec.gang = true;
+  gang.spec.cpus = 8;
+  const auto large_gang = s.submit(gang);
+  for (int i = 0; i < 200; ++i) {
+    s.world.at(to_duration(Seconds(i * 2.0)), [&s] { s.submit(array(12, 20)); });
+  }
+  s.world.run_until(20 + 240);
+  EXPECT_TRUE(s.checker.began(large));
+  EXPECT_TRUE(s.checker.began(large_gang));
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+}
+
 }  // namespace
