--- a/src/sched/planner.hpp
+++ b/src/sched/planner.hpp
@@ -104,9 +104,9 @@
   std::size_t steps = 0;
 };
 
-// Every job, the largest too, is to begin within four minutes: half of that is left to the order by
+// Every job, the largest too, is to begin within four minutes: three are left to the order by
 // aims, which puts large and late ones last.
-inline constexpr Seconds kStarvingAfter{120};
+inline constexpr Seconds kStarvingAfter{180};
 
 // Whether the job precedes the other: guarantees, priority, those about to miss their beginning
 // (the longest waiting first), then those that can still be in time, then the one with less work
