--- a/src/wire/user.cpp
+++ b/src/wire/user.cpp
@@ -71,6 +71,7 @@
   return valid_job_id(id) ? id : std::string();
 }
 
+// Only what may be null may be absent (PROTOCOL): types, zone and deadline.
 JobSpec decode_job(const Json& body) {
   JobSpec job;
   job.id = text(body, name::kId);
@@ -85,7 +86,7 @@
     throw BadMessage(std::string(name::kTasks) + " must be 1 to 100000");
   job.tasks = static_cast<std::uint32_t>(tasks);
   job.cpus = number(body, name::kCpus);
-  job.gpus = number_or(body, name::kGpus, 0);
+  job.gpus = number(body, name::kGpus);
   job.memory_gb = number(body, name::kMemoryGb);
   job.image = short_name(body, name::kImage);
   job.image_gb = number(body, name::kImageGb);
@@ -98,12 +99,12 @@
     }
   }
   if (optional_member(body, name::kZone) != nullptr) job.zone = short_name(body, name::kZone);
-  job.one_zone = flag_or(body, name::kOneZone, false);
-  job.spread = flag_or(body, name::kSpread, false);
-  job.spot = flag_or(body, name::kSpot, false);
+  job.one_zone = flag(body, name::kOneZone);
+  job.spread = flag(body, name::kSpread);
+  job.spot = flag(body, name::kSpot);
   job.estimate = Seconds(number(body, name::kEstimate));
-  job.checkpoint = Seconds(number_or(body, name::kCheckpoint, 0));
-  job.save = Seconds(number_or(body, name::kSave, 0));
+  job.checkpoint = Seconds(number(body, name::kCheckpoint));
+  job.save = Seconds(number(body, name::kSave));
   if (optional_member(body, name::kDeadline) != nullptr)
     job.deadline = Seconds(number(body, name::kDeadline));
   return job;
