What a leader knows of cancellations bounds what it answers; quota counts unknown tasks

One that had claimed the key but could not read the live jobs, or whose watch was not answered while touches were, renewed leases of cancelled tasks without end; a chain of leaders could do the same with first answers. Reports are now answered only while the view of the live jobs, counted from when it was asked for, is younger than cancel_s less a lease and a slack; any answer stops reported tasks of ended jobs. - a leader refused alone learnt of cancellations seconds late. Whoever confirms one tells the siblings first; the leader stops the tasks directly. While the state service fails here and not all siblings say the same, nothing new is started. - tasks of jobs cancelled before a term counted for no team: up to all the room they can take now counts against every limited team until they are gone. - a job of which nothing is anywhere for 70 s may use room kept for others (90 s is the limit). Direct commands are bounded: 24 at a time.

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -153,14 +153,21 @@
   return parse_settings(text.str());
 }
 
-Duration leader_ttl(const Settings& s) {
+Duration view_limit(const Settings& s) {
+  // For drift on both terms, the worker's own timer and the steps in between.
   const Duration slack = std::max<Duration>(2s, s.report_every);
-  const Duration room = s.cancel_within - s.lease - slack;
-  if (room < 2s) {
+  const auto drifted = to_duration(Seconds(seconds(s.lease) * (1 + 2 * kClockDrift)));
+  const Duration limit = s.cancel_within - drifted - slack;
+  if (limit < 2s) {
     fail("cluster.workers.cancel_s",
-         "must exceed lease_s by at least 4 s, so that a leader cut "
-         "off from the state service stops in time");
+         "must exceed lease_s by at least 4 s and by report_s and 2 s, so that a leader cut off "
+         "from the state service stops in time");
   }
+  return limit;
+}
+
+Duration leader_ttl(const Settings& s) {
+  const Duration room = view_limit(s);
   // When a leader falls silent the workers should have found its successor before their leases run
   // out. Where leases are too short for that in any case, a long grant outlasts more outages.
   constexpr Duration kShortest = 10s, kLongest = 20s;
--- a/src/base/settings.hpp
+++ b/src/base/settings.hpp
@@ -52,6 +52,11 @@
 Settings parse_settings(std::string_view toml_text);
 Settings load_settings(const std::string& path);
 
+// How old the leader's view of the live jobs may be, counted from when it was asked for, while it
+// answers reports. Each answer may renew a lease, so a cancellation that it cannot see yet takes
+// effect within this and a lease; see "Why cancelled tasks end in time" in docs/design.md.
+Duration view_limit(const Settings& settings);
+
 // How long the leader's grant lives. Long enough to ride out ordinary trouble of the state
 // service, short enough that a leader cut off from the store loses its entitlement, and its
 // workers their leases, before a cancellation it could not see must have taken effect.
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -15,6 +15,8 @@
 constexpr auto kReportPatience = 500ms;  // beyond the longest time between a worker's reports
 constexpr std::ptrdiff_t kSeveral = 3;
 constexpr auto kFlushEvery = 3s;  // of a job's progress
+constexpr auto kWatchWait = 5s;
+constexpr int kWatchesInLimit = 3;  // so many must fit: one may be lost
 
 }  // namespace
 
@@ -25,6 +27,8 @@
       election_(election),
       settings_(settings),
       catalog_(catalog),
+      view_limit_(view_limit(settings)),
+      watch_wait_(std::min<Duration>(kWatchWait, view_limit_ / kWatchesInLimit)),
       token_(election.token()),
       elected_at_(runtime.now()),
       heard_at_(runtime.now()) {}
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -53,9 +53,16 @@
   void start();
   void stop() { stopped_ = true; }
 
+  // Only while current(): each answer may renew a lease.
   HttpResponse report(const WorkerReport& report);
 
   bool loaded() const { return loaded_; }
+  // Whether the view of the live jobs is recent enough for reports to be answered.
+  bool current() const { return loaded_ && runtime_.now() - view_asked_at_ < view_limit_; }
+  // A sibling, or this node, has confirmed the cancellation: the watch may be late, or cut off.
+  void cancelled(const std::string& job);
+  // While others may confirm cancellations that this node cannot see, nothing new is started.
+  void hold_starts(bool hold) { starts_held_ = hold; }
   bool settled() const { return settled_; }
   // Whether no report has come for so long, from several machines, that they cannot all be at
   // fault.
@@ -86,7 +93,7 @@
   void load();
   void load_progress();
   void load_roster();
-  void watch(std::uint64_t after);
+  void watch(std::uint64_t after, Duration wait);
   void reload_later();
   void add_live(const wire::Item& item);
   void job_ended(const std::string& id);
@@ -115,6 +122,8 @@
   void check_notice(Machine& machine);
   void send_direct(const std::vector<std::pair<std::string, Command>>& stops,
                    bool read_answers = false);
+  void pump_direct();
+  std::vector<Command> stops_for_ended(const WorkerReport& report) const;
   void plan();
   void plan_soon();
   // Its refs are places in planned_machines_ and planned_jobs_, which hold until the next one.
@@ -128,7 +137,6 @@
   Seconds age_of(const Job& job) const;
   double cache_gb(const std::string& type) const;
   bool alive() const { return !stopped_; }
-  bool view_fresh() const;
 
   Runtime& runtime_;
   store::Store& store_;
@@ -136,9 +144,25 @@
   const Settings& settings_;
   const cloud::Catalog& catalog_;
 
+  // A direct command waiting for its turn.
+  struct Direct {
+    std::string machine;
+    std::vector<Command> commands;
+    TimePoint give_up;
+    bool read_answer = false;
+  };
+
+  Duration view_limit_, watch_wait_;
   std::uint64_t token_ = 0, attempts_ = 0;
-  TimePoint elected_at_{}, heard_at_{}, view_at_{}, next_plan_{}, next_preempt_{}, summed_up_at_{};
+  TimePoint elected_at_{}, heard_at_{}, next_plan_{}, next_preempt_{}, summed_up_at_{};
+  TimePoint view_asked_at_{};  // of the newest view that has arrived
   bool stopped_ = false, loaded_ = false, settled_ = false, plan_wanted_ = false, plan_due_ = false;
+  bool starts_held_ = false;
+  std::deque<Direct> directs_;
+  std::size_t directs_in_flight_ = 0;
+  // Cancelled, as siblings say: the watch may yet tell of them as live.
+  std::set<std::string> cancelled_;
+  std::deque<std::string> cancelled_order_;
   std::uint64_t live_revision_ = 0;
   Jobs jobs_;
   Machines machines_;
--- a/src/fleet/gangs.cpp
+++ b/src/fleet/gangs.cpp
@@ -10,6 +10,10 @@
 
 constexpr double kEndsInTime = 0.7;  // of a notice: estimates are rough
 constexpr Seconds kRestartTime{1};   // of a task that finds its image
+constexpr auto kDirectTimeout = 2s;
+// Direct commands at a time, and waiting: a job may be on hundreds of machines, some of them out of
+// hearing, and the connections are the state service's too.
+constexpr std::size_t kDirectsInFlight = 24, kMostDirects = 2000;
 
 }  // namespace
 
@@ -37,20 +41,38 @@
   if (stops.empty() || !election_.entitled()) return;
   std::map<std::string, std::vector<Command>> by_machine;
   for (const auto& [machine, c] : stops) by_machine[machine].push_back(c);
-  for (const auto& [id, commands] : by_machine) {
-    const Machine* m = machines_.find(id);
-    if (m == nullptr || m->address.empty()) continue;
+  for (auto& [id, commands] : by_machine) {
+    if (directs_.size() >= kMostDirects) break;  // the next answers to reports say the same
+    directs_.push_back(
+        {id, std::move(commands), runtime_.now() + settings_.report_every, read_answers});
+  }
+  pump_direct();
+}
+
+void Fleet::pump_direct() {
+  while (!directs_.empty() && directs_in_flight_ < kDirectsInFlight && election_.entitled()) {
+    const Direct d = std::move(directs_.front());
+    directs_.pop_front();
+    const Machine* m = machines_.find(d.machine);
+    if (m == nullptr || m->address.empty() || d.give_up < runtime_.now()) continue;
+    ++directs_in_flight_;
     runtime_.http(
         m->address,
-        {"POST", std::string(wire::kDirectPath), wire::encode_direct(token_, m->session, commands)},
-        2s, [self = weak_from_this(), read_answers](const HttpResponse& response) {
+        {"POST", std::string(wire::kDirectPath),
+         wire::encode_direct(token_, m->session, d.commands)},
+        kDirectTimeout,
+        [self = weak_from_this(), read_answer = d.read_answer](const HttpResponse& response) {
           const auto f = self.lock();
-          if (!read_answers || response.status != 200 || !f || !f->alive()) return;
-          try {
-            f->direct_answer(wire::decode_report(response.body));
-          } catch (const wire::BadMessage& e) {
-            log::error("malformed answer to a direct command: {}", e.what());
+          if (!f || !f->alive()) return;
+          --f->directs_in_flight_;
+          if (read_answer && response.status == 200) {
+            try {
+              f->direct_answer(wire::decode_report(response.body));
+            } catch (const wire::BadMessage& e) {
+              log::error("malformed answer to a direct command: {}", e.what());
+            }
           }
+          f->pump_direct();
         });
   }
 }
--- a/src/fleet/jobs.hpp
+++ b/src/fleet/jobs.hpp
@@ -31,8 +31,9 @@
   bool begun_before = false;  // by an earlier leader: tasks may be where nobody has reported
   bool beginning = false, flushing = false, ending = false;
   bool first_started = false;
-  bool ran = false;       // its first tasks, or all of a gang, have been seen running
-  Seconds room_after{0};  // its age when room was first found for it
+  std::optional<TimePoint> idle_since;  // while nothing of it is, or may be, anywhere
+  bool ran = false;                     // its first tasks, or all of a gang, have been seen running
+  Seconds room_after{0};                // its age when room was first found for it
   std::string last_zone;
   std::set<std::string> failed_on;  // machines
   std::uint32_t failure_rounds = 0;
--- a/src/fleet/loading.cpp
+++ b/src/fleet/loading.cpp
@@ -10,7 +10,7 @@
 namespace asterstair::fleet {
 namespace {
 
-constexpr auto kWatchWait = 5s;
+constexpr std::size_t kMostCancelled = 4000;
 
 }  // namespace
 
@@ -21,7 +21,8 @@
 }
 
 void Fleet::load() {
-  store_.list(store::kLivePrefix, [self = weak_from_this()](const store::ListResult& r) {
+  const auto asked = runtime_.now();
+  store_.list(store::kLivePrefix, [self = weak_from_this(), asked](const store::ListResult& r) {
     const auto f = self.lock();
     if (!f || !f->alive()) return;
     if (!r.ok) {
@@ -40,9 +41,9 @@
     }
     for (const auto& id : ended) f->job_ended(id);
     f->live_revision_ = r.revision;
-    f->view_at_ = f->runtime_.now();
+    f->view_asked_at_ = asked;
     if (f->loaded_) {
-      f->watch(r.revision);
+      f->watch(r.revision, f->watch_wait_);
     } else {
       f->load_progress();
     }
@@ -122,14 +123,16 @@
     f->loaded_ = true;
     log::info("term {}: {} live jobs, {} machines to hear from", f->token_, f->jobs_.all().size(),
               f->machines_.all().size());
-    f->watch(f->live_revision_);
+    f->watch(f->live_revision_, f->watch_wait_);
     f->check_settled();
   });
 }
 
-void Fleet::watch(std::uint64_t after) {
-  store_.watch(store::kLivePrefix, after, kWatchWait,
-               [self = weak_from_this(), after](const store::WatchResult& r) {
+void Fleet::watch(std::uint64_t after, Duration wait) {
+  // The view is as old as the question: an answer may have been held up on its way.
+  const auto asked = runtime_.now();
+  store_.watch(store::kLivePrefix, after, wait,
+               [self = weak_from_this(), after, asked](const store::WatchResult& r) {
                  const auto f = self.lock();
                  if (!f || !f->alive()) return;
                  if (r.outcome == store::WatchResult::Outcome::TooOld) {
@@ -137,12 +140,13 @@
                    return;
                  }
                  if (r.outcome == store::WatchResult::Outcome::Unavailable) {
+                   // Answered at once when it is: what was missed meanwhile is wanted now.
                    f->runtime_.after(200ms, [self, after] {
-                     if (const auto g = self.lock(); g && g->alive()) g->watch(after);
+                     if (const auto g = self.lock(); g && g->alive()) g->watch(after, 0s);
                    });
                    return;
                  }
-                 f->view_at_ = f->runtime_.now();
+                 f->view_asked_at_ = std::max(f->view_asked_at_, asked);
                  for (const auto& item : r.events.items) {
                    if (item.value) {
                      f->add_live(item);
@@ -150,13 +154,14 @@
                      f->job_ended(item.key.substr(std::string_view(store::kLivePrefix).size()));
                    }
                  }
-                 f->watch(std::max(after, r.events.revision));
+                 f->watch(std::max(after, r.events.revision), f->watch_wait_);
                });
 }
 
 void Fleet::add_live(const wire::Item& item) {
   try {
     auto record = store::decode_live(*item.value);
+    if (cancelled_.count(record.job.id) != 0) return;
     const bool known = jobs_.find(record.job.id) != nullptr;
     Job& job = jobs_.add(std::move(record.job), item.version, record.accepted);
     if (!known) {
@@ -174,12 +179,21 @@
 void Fleet::job_ended(const std::string& id) {
   const Job* job = jobs_.find(id);
   if (job == nullptr) return;
-  // Whatever of it is left serves nobody: stopped at once, and cleared when it has ended.
+  // Whatever of it is left serves nobody: stopped at once, and cleared when it has ended. Told
+  // directly too: an image may arrive before the next report, a machine may be out of hearing or
+  // hang, and then carries the command out as it goes on.
+  std::vector<std::pair<std::string, Command>> direct;
   for (const auto& [index, placed] : job->placed) {
     Machine* m = machines_.find(placed.machine);
     if (m == nullptr) continue;
-    if (Occupant* o = m->occupant({id, index}, placed.attempt)) stop_occupant(*m, *o, Seconds(0));
+    Occupant* o = m->occupant({id, index}, placed.attempt);
+    if (o == nullptr) continue;
+    stop_occupant(*m, *o, Seconds(0));
+    if (o->phase == Occupant::Phase::Present || o->phase == Occupant::Phase::Ordered) {
+      direct.emplace_back(m->id, Command{Command::Op::Stop, o->task, placed.attempt});
+    }
   }
+  send_direct(direct);
   log::info("job {} of {} ended after {:.1f} s, {} of {} tasks done", id, job->spec->job_class,
             age_of(*job).count(), job->done_count, job->spec->tasks);
   const auto chunks = store::chunk_count(job->spec->tasks, settings_.value_bytes);
@@ -188,9 +202,14 @@
   plan_wanted_ = true;
 }
 
-bool Fleet::view_fresh() const {
-  // A watch that has not answered for long may hide cancellations; see leader_ttl().
-  return runtime_.now() - view_at_ < leader_ttl(settings_) + kWatchWait;
+void Fleet::cancelled(const std::string& id) {
+  if (!cancelled_.insert(id).second) return;
+  cancelled_order_.push_back(id);
+  if (cancelled_order_.size() > kMostCancelled) {
+    cancelled_.erase(cancelled_order_.front());
+    cancelled_order_.pop_front();
+  }
+  job_ended(id);
 }
 
 void Fleet::check_settled() {
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -14,8 +14,9 @@
 constexpr Duration kStepCost = 40ns;
 constexpr double kPlanShare = 0.25;
 constexpr Seconds kKeepFor{20};
-constexpr std::uint32_t kFirstTasks = 16;  // of an array that nothing has begun of for long
+constexpr std::uint32_t kFirstTasks = 16;  // of an array that nothing is anywhere of for long
 constexpr auto kPreemptEvery = 300ms;
+constexpr sched::Use kUnbounded{1e9, 1e9, 0};  // of a machine whose type is not known
 
 }  // namespace
 
@@ -34,12 +35,18 @@
   planned_machines_.clear();
   planned_jobs_.clear();
   std::unordered_map<std::string, std::map<std::string, std::uint32_t>> in_zone;
+  sched::Use unknown;
   s.machines.reserve(machines_.all().size());
   for (auto& [id, m] : machines_.all()) {
     refresh(m);
     for (const auto& [job, n] : m.holding.zoned) in_zone[job->id][m.zone] += n;
     const auto* type = catalog_.find(m.type);
-    if (type == nullptr || m.holding.unknown || !usable(m)) continue;
+    if (m.holding.unknown) {
+      unknown.add(type == nullptr ? kUnbounded : sched::Use{type->cpus, type->gpus, 0});
+      unknown.add(m.holding.used, -1);
+      continue;
+    }
+    if (type == nullptr || !usable(m)) continue;
     sched::PlanMachine p;
     p.free = {type->cpus, type->gpus, type->memory_gb};
     p.free.add(m.holding.used, -1);
@@ -60,7 +67,11 @@
     p.loss_rate = it->second;
   }
   for (const auto& [name, t] : settings_.teams) {
-    s.teams[name] = {team_use_[name], t.cpus, t.gpus, t.cpus_max, t.gpus_max};
+    auto used = team_use_[name];
+    // Tasks of jobs that ended before this term: whose they are is no longer known, and until they
+    // are gone they may be any team's, up to all the room they can take.
+    if (t.cpus_max > 0 || t.gpus_max > 0) used.add(unknown);
+    s.teams[name] = {used, t.cpus, t.gpus, t.cpus_max, t.gpus_max};
   }
   // Work with accelerators as it has come lately; what comes within kKeepFor finds room.
   double gpus = 0, cpus = 0;
@@ -83,6 +94,13 @@
   for (Job* arrived : by_arrival) {
     const Job& job = *arrived;
     const bool guaranteed = guarantees.next(*job.spec, job.unfinished());
+    if (!job.placed.empty()) {
+      arrived->idle_since.reset();
+    } else if (!job.idle_since) {
+      // Of one that never began, from when it was accepted, whoever led then.
+      const auto waited = job.first_started ? Duration::zero() : to_duration(age_of(job));
+      arrived->idle_since = now - waited;
+    }
     if (job.waiting.empty() || now < job.not_before || job.ending) continue;
     // Until all machines have been heard from, tasks that nobody reported may run anywhere.
     if (!settled_ && job.begun_before) continue;
@@ -102,8 +120,10 @@
     p.waited = age_of(job);
     p.guaranteed = guaranteed;
     p.starving = !job.first_started && p.waited > sched::kStarvingAfter;
+    p.overdue = job.idle_since && now - *job.idle_since > sched::kOverdueAfter;
     // It is to begin, not to push everything else aside: an array's first tasks will do.
-    if (p.starving && !job.spec->gang()) p.waiting = std::min(p.waiting, kFirstTasks);
+    if ((p.starving || p.overdue) && !job.spec->gang())
+      p.waiting = std::min(p.waiting, kFirstTasks);
     p.slack = slack_of(job, p.remaining);
     p.work = p.remaining * static_cast<double>(job.unfinished());
     planned_jobs_.push_back(arrived);
@@ -129,7 +149,7 @@
 }
 
 void Fleet::plan() {
-  if (!loaded_ || !election_.entitled() || !view_fresh() || !catalog_.known()) return;
+  if (!loaded_ || !election_.entitled() || !current() || !catalog_.known()) return;
   plan_wanted_ = false;
   const auto now = runtime_.now();
   auto s = snapshot();
--- a/src/fleet/reports.cpp
+++ b/src/fleet/reports.cpp
@@ -62,15 +62,15 @@
     m.heard = age;
     m.last_answered = now;
   }
-  if (r.token != token_ || !loaded_) {
+  if (r.token != token_) {
     // Sent before the worker knew this leader: what it shows may be older than the last leader's
     // doings. The answer carries the token; the next report counts.
-    return {200, wire::encode_commands(token_, {})};
+    return {200, wire::encode_commands(token_, stops_for_ended(r))};
   }
   const bool lapsed = m.reported && r.session > m.session;
   Events events;
   if (machines_.apply(r, now, cache_gb(r.type), events) == Machines::Order::Late) {
-    return {200, wire::encode_commands(token_, {})};
+    return {200, wire::encode_commands(token_, stops_for_ended(r))};
   }
   if (!m.rostered) roster_waiting_.insert(m.id);
   // A cut may cost sessions, of which all is heard at once when it ends. Losing one after the other
@@ -87,6 +87,19 @@
   return {200, wire::encode_commands(token_, commands_for(m, r.seq))};
 }
 
+// Any answer may renew the worker's lease, whatever else the report is good for, so none leaves a
+// task running whose job has ended: through one leader after the other it could outlast cancel_s.
+// What an earlier leader started was live when this term's view was asked for, unless it had ended.
+std::vector<Command> Fleet::stops_for_ended(const WorkerReport& r) const {
+  std::vector<Command> out;
+  for (const auto& t : r.tasks) {
+    if (t.state != TaskState::Exited && jobs_.all().count(t.task.job) == 0) {
+      out.push_back({Command::Op::Stop, t.task, t.attempt});
+    }
+  }
+  return out;
+}
+
 // The answer to a direct command shows at once what the next report would show: room that has
 // come free, above all.
 void Fleet::direct_answer(const WorkerReport& r) {
@@ -289,7 +302,7 @@
 
 std::vector<Command> Fleet::commands_for(Machine& m, std::uint64_t seq) {
   std::vector<Command> stops, forgets, starts;
-  const bool startable = m.rostered && usable(m) && view_fresh();
+  const bool startable = m.rostered && usable(m) && !starts_held_;
   Events gone;
   for (auto it = m.occupants.begin(); it != m.occupants.end();) {
     Occupant& o = it->second;
@@ -362,7 +375,8 @@
   for (auto& [id, m] : machines_.all()) {
     if (m.silent || now - m.last_answered <= out) continue;
     m.silent = true;
-    m.first_session = m.session + 1;
+    // Reports made under an earlier token count as well: their answers renewed no later.
+    m.first_session = std::max(m.session, m.heard.first) + 1;
     if (m.reported && !m.goes_at) losses_.lost({m.zone, m.spot}, now);
     log::info("machine {}: its lease has run out", id);
     Events events;
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -184,6 +184,7 @@
 void Frontend::cancel_once(const std::string& id, int tries, const Respond& respond) {
   look_up(id, [this, id, tries, respond](const Found& found) {
     if (found.outcome != Found::Outcome::Live) {
+      if (found.outcome == Found::Outcome::Final && found.final.cancelled) tell_(id);
       answer_known(id, found, respond, failure(404, "no such job"));
       return;
     }
@@ -196,6 +197,7 @@
     store_.write(std::move(txn), store::Urgency::User,
                  [this, id, tries, respond](const store::WriteResult& r) {
                    if (r.outcome == store::WriteOutcome::Committed) {
+                     tell_(id);
                      respond({200, wire::encode_status(id, JobStage::Cancelled)});
                    } else if (r.outcome == store::WriteOutcome::NotDone) {
                      respond(unavailable());
--- a/src/frontend/frontend.hpp
+++ b/src/frontend/frontend.hpp
@@ -30,6 +30,9 @@
   void status(const std::string& id, const Respond& respond);
   void cancel(const std::string& id, const Respond& respond);
 
+  // Called for each cancellation that a user is about to be told of.
+  void on_cancelled(std::function<void(const std::string&)> tell) { tell_ = std::move(tell); }
+
   // For display only; told by the leader.
   void set_counts(std::unordered_map<std::string, Counts> counts) { counts_ = std::move(counts); }
 
@@ -53,6 +56,7 @@
   store::Store& store_;
   const Settings& settings_;
   const cloud::Catalog& catalog_;
+  std::function<void(const std::string&)> tell_ = [](const std::string&) {};
   std::unordered_map<std::string, Counts> counts_;
   // How jobs ended never changes, so this alone may be kept; the least recently added goes.
   std::unordered_map<std::string, store::FinalRecord> finals_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,5 +1,7 @@
 #include "node/node.hpp"
 
+#include <algorithm>
+
 #include "base/log.hpp"
 #include "wire/user.hpp"
 #include "wire/worker.hpp"
@@ -13,6 +15,13 @@
 constexpr auto kProbeEvery = 1s;
 constexpr auto kStoreLost = 4s;
 constexpr std::size_t kMostCounts = 2000;
+// Cancellations are told to the siblings at once, and again for as long as a message may be lost.
+constexpr auto kCancellationsTold = 10s;
+constexpr std::size_t kMostCancellations = 1000;
+// A sibling that the state service answers says so in a hint made this long after a failure here:
+// it asks every kProbeEvery at the least, and hints come every kHintsEvery.
+constexpr auto kSiblingKnows = 2200ms;
+constexpr auto kStoreQuiet = 2500ms;  // longer without an answer counts as a failure
 
 HttpResponse failure(int status, std::string_view message) {
   return {status, wire::encode_error(message)};
@@ -29,6 +38,11 @@
       election_(runtime_, store_, settings_,
                 {[this](std::uint64_t) { elected(); }, [this] { lost(); }}) {
   for (const auto& s : settings_.siblings) siblings_[s.node];
+  frontend_.on_cancelled([this](const std::string& job) { cancelled(job); });
+}
+
+bool Node::Sibling::heard_lately(TimePoint now) const {
+  return heard != TimePoint{} && now - heard <= kHeardWithin;
 }
 
 void Node::start() {
@@ -84,8 +98,7 @@
   });
 }
 
-void Node::share_hints() {
-  runtime_.after(kHintsEvery, [this] { share_hints(); });
+wire::PeerHint Node::hint() const {
   wire::PeerHint hint;
   hint.node = settings_.node;
   hint.leader = election_.leader();
@@ -97,6 +110,22 @@
     hint.store_age_ms = static_cast<std::uint32_t>(std::min<std::int64_t>(age.count(), UINT32_MAX));
   }
   hint.resigned = election_.resigned();
+  return hint;
+}
+
+void Node::send_hint(const wire::PeerHint& hint) {
+  const std::string message = wire::encode_hint(hint);
+  for (const auto& [node, s] : siblings_) runtime_.send_peer(node, message);
+}
+
+void Node::share_hints() {
+  runtime_.after(kHintsEvery, [this] { share_hints(); });
+  const auto now = runtime_.now();
+  while (!cancellations_.empty() && now - cancellations_.front().at > kCancellationsTold) {
+    cancellations_.pop_front();
+  }
+  auto hint = this->hint();
+  for (const auto& c : cancellations_) hint.cancelled.push_back(c.job);
   if (fleet_) {
     std::unordered_map<std::string, frontend::Counts> counts;
     for (const auto& c : fleet_->counts()) {
@@ -106,11 +135,38 @@
     }
     frontend_.set_counts(std::move(counts));
   }
-  const std::string message = wire::encode_hint(hint);
-  for (const auto& [node, s] : siblings_) runtime_.send_peer(node, message);
+  send_hint(hint);
   check_leadership();
 }
 
+// The leader may be the one node that the state service refuses: its watch would tell it nothing.
+// So whoever confirms a cancellation tells the siblings before the user.
+void Node::cancelled(const std::string& job) {
+  if (fleet_) fleet_->cancelled(job);
+  cancellations_.push_back({runtime_.now(), job});
+  if (cancellations_.size() > kMostCancellations) cancellations_.pop_front();
+  auto hint = this->hint();
+  hint.leader.clear();  // it brings no counts
+  hint.cancelled = {job};
+  send_hint(hint);
+}
+
+// Whether the state service fails this node, or has long been quiet, and not every sibling has said
+// that it is the same for it: then others may confirm cancellations that cannot be seen here. In an
+// outage for all nobody confirms anything, and work goes on being started.
+bool Node::may_miss_cancellations() const {
+  const auto now = runtime_.now();
+  auto since = store_.failing_since();
+  if (since == TimePoint{} && now - store_.last_answer() > kStoreQuiet) {
+    since = store_.last_answer();
+  }
+  if (since == TimePoint{}) return false;
+  return std::any_of(siblings_.begin(), siblings_.end(), [&](const auto& sibling) {
+    const Sibling& s = sibling.second;
+    return !s.heard_lately(now) || s.heard < since + kSiblingKnows || s.store_answered > since;
+  });
+}
+
 // A leader that has lost the state service or the workers, alone, would hold its grant while
 // nothing starts or leases run out. A sibling that is better off takes over as soon as it hears of
 // it.
@@ -122,7 +178,7 @@
   const bool workers_lost = fleet_->hears_nobody() && store_.heard_lately(kHeardWithin);
   if (!store_lost && !workers_lost) return;
   for (const auto& [node, s] : siblings_) {
-    if (s.heard == TimePoint{} || now - s.heard > kHeardWithin || !s.sees_store) continue;
+    if (!s.heard_lately(now) || !s.sees_store) continue;
     // Answered there after it first failed here: an outage would be the same for all, and must not
     // cost the leader its entitlement.
     if (store_lost && s.store_answered <= store_.failing_since()) continue;
@@ -144,6 +200,11 @@
     it->second.store_answered = runtime_.now() - milliseconds(hint->store_age_ms);
   }
   if (hint->resigned != 0) election_.succeed(hint->resigned);
+  if (fleet_) {
+    for (const auto& job : hint->cancelled) {
+      if (wire::valid_job_id(job)) fleet_->cancelled(job);
+    }
+  }
   if (hint->leader == hint->node && hint->token >= hinted_token_) {
     hinted_leader_ = hint->node;
     hinted_token_ = hint->token;
@@ -168,7 +229,7 @@
   // and rejoining the load balancer would only add to the outage.
   if (store_.seems_down()) {
     for (const auto& [node, s] : siblings_) {
-      if (s.sees_store && s.heard != TimePoint{} && runtime_.now() - s.heard < kHeardWithin) {
+      if (s.sees_store && s.heard_lately(runtime_.now())) {
         return failure(503, "the state service answers other nodes only");
       }
     }
@@ -190,7 +251,9 @@
     respond({421, wire::encode_not_leader(leader == settings_.node ? "" : leader)});
     return;
   }
-  if (!election_.entitled() || !fleet_) {
+  // Entitlement alone does not do: a touch may succeed again while the watch has not yet told what
+  // was cancelled meanwhile.
+  if (!election_.entitled() || !fleet_ || !fleet_->current()) {
     respond(failure(503, "not entitled to give commands at present"));
     return;
   }
@@ -206,6 +269,7 @@
     respond(failure(503, "a newer leader has been seen"));
     return;
   }
+  fleet_->hold_starts(may_miss_cancellations());
   respond(fleet_->report(r));
 }
 
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // One controller node: everything but sockets.
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,11 +33,21 @@
     TimePoint heard{};
     bool sees_store = false;
     TimePoint store_answered{};  // it, the last that is known of
+
+    bool heard_lately(TimePoint now) const;
+  };
+  struct Cancellation {
+    TimePoint at;
+    std::string job;
   };
 
   void elected();
   void lost();
   void share_hints();
+  void send_hint(const wire::PeerHint& hint);
+  wire::PeerHint hint() const;
+  void cancelled(const std::string& job);
+  bool may_miss_cancellations() const;
   void learn_types();
   void probe_store();
   void check_leadership();
@@ -53,6 +64,7 @@
   std::shared_ptr<fleet::Fleet> fleet_;
   std::shared_ptr<autoscale::Autoscaler> autoscaler_;
   std::map<std::string, Sibling> siblings_;
+  std::deque<Cancellation> cancellations_;  // confirmed here lately
   std::string hinted_leader_;
   std::uint64_t hinted_token_ = 0;
   bool types_fresh_ = false;
--- a/src/sched/planner.cpp
+++ b/src/sched/planner.cpp
@@ -113,9 +113,9 @@
       for (const auto& c : ranked(j, sample(fitting))) {
         if (j.waiting == 0) break;
         auto& machine = s_.machines[c.machine];
-        const auto n = std::min({j.waiting, array_room(*j.job, machine),
-                                 team_room(s_.teams[j.job->team], *j.job),
-                                 zone_room(j, j.in_zone, machine.zone)});
+        const auto n =
+            std::min({j.waiting, array_room(j, machine), team_room(s_.teams[j.job->team], *j.job),
+                      zone_room(j, j.in_zone, machine.zone)});
         if (n == 0) continue;
         take(j, c.machine, n);
         out_.placements.push_back({j.ref, machine.ref, n});
@@ -204,8 +204,9 @@
 
   // Tasks that need no accelerator leave processors beside free accelerators alone, once no more
   // than what will be wanted soon are left.
-  std::uint32_t array_room(const JobSpec& job, const PlanMachine& machine) const {
-    if (job.gpus > 0 || machine.free.gpus <= 0) return room(job, machine.free);
+  std::uint32_t array_room(const PlanJob& j, const PlanMachine& machine) const {
+    const JobSpec& job = *j.job;
+    if (job.gpus > 0 || machine.free.gpus <= 0 || j.overdue) return room(job, machine.free);
     Use free = machine.free;
     const double may_go = std::max(0.0, free_slots_ - s_.keep_gpus);
     free.cpus -= std::max(0.0, slots(free) - may_go) * s_.cpus_per_gpu;
@@ -226,8 +227,10 @@
       for (const auto m : p.machines) {
         const auto& machine = s_.machines[m];
         if (!has_room(*j.job, machine.free)) continue;
-        if (machine.reserved_for != SIZE_MAX && machine.reserved_for != job_index) continue;
-        if (j.avoid != nullptr && j.avoid->count(machine.ref) != 0) continue;
+        if (!j.overdue) {
+          if (machine.reserved_for != SIZE_MAX && machine.reserved_for != job_index) continue;
+          if (j.avoid != nullptr && j.avoid->count(machine.ref) != 0) continue;
+        }
         out.push_back(m);
       }
     }
--- a/src/sched/planner.hpp
+++ b/src/sched/planner.hpp
@@ -60,6 +60,7 @@
   Seconds waited{0};
   bool guaranteed = false;                       // see Guarantees
   bool starving = false;                         // nothing of it has begun for long
+  bool overdue = false;                          // nothing of it is anywhere, for long
   double slack = 0;                              // seconds until it must start
   const std::set<std::size_t>* avoid = nullptr;  // machine refs it failed on
 };
@@ -108,6 +109,10 @@
 // aims, which puts large and late ones last.
 inline constexpr Seconds kStarvingAfter{180};
 
+// No job is left waiting for 90 s while a machine that fits has room: a little earlier, one of
+// which nothing is anywhere takes what is otherwise kept for others.
+inline constexpr Seconds kOverdueAfter{70};
+
 // Whether the job precedes the other: guarantees, priority, those about to miss their beginning
 // (the longest waiting first), then those that can still be in time, then the one with less work
 // left on its tasks' dominant resource: users count jobs, and small ones in front delay the large
