--- /dev/null
+++ b/tests/meetings_test.cpp
@@ -0,0 +1,469 @@
+// Two troubles at a time, as the operators have met them. Each test fails when the guard that it
+// names is taken out; seeded days of the same meetings are in random_runs_test.cpp.
+
+#include <gtest/gtest.h>
+
+#include "sim/scenario.hpp"
+
+namespace {
+
+using namespace sim;
+
+Scenario::Ask array(std::uint32_t tasks, double run_s, const std::string& team = "blue") {
+  Scenario::Ask a;
+  a.truth.team = team;
+  a.spec.tasks = tasks;
+  a.spec.cpus = 4;
+  a.spec.memory_gb = 1;
+  a.spec.run_s = run_s;
+  a.spec.image = "img";
+  a.spec.image_gb = 0.1;
+  return a;
+}
+
+bool asks_for(const HttpRequest& r, std::string_view prefix) {
+  return r.target.find("prefix=" + std::string(prefix)) != std::string::npos;
+}
+
+// Reports, answers, both ways or one: between the machine and every node.
+void part(Scenario& s, const std::string& machine, bool to_nodes, bool from_nodes, bool on) {
+  for (int i = 0; i < s.count(); ++i) {
+    if (to_nodes) s.world.deafen(machine, s.name(i), on);
+    if (from_nodes) s.world.deafen(s.name(i), machine, on);
+  }
+}
+
+void silence_siblings(Scenario& s) {
+  for (int i = 0; i < s.count(); ++i) {
+    for (int k = 0; k < s.count(); ++k) {
+      if (i != k) s.world.deafen(s.name(i), s.name(k), true);
+    }
+  }
+}
+
+// Cancels through any node but the leader, as users end up doing who get no answer there.
+void cancel_elsewhere(Scenario& s, const std::string& id, int leader) {
+  s.checker.asks_cancel(id);
+  s.world.http("users", s.address((leader + 1) % s.count()),
+               {"POST", "/v2/runs/" + id + "/abort", ""}, 5s, [&s, id](const HttpResponse& r) {
+                 const auto in = Json::parse(r.body, nullptr, false);
+                 s.checker.answered(id, r.status, in.is_object() ? in.value("stage", "") : "",
+                                    false, s.world.t());
+               });
+}
+
+struct Terms {
+  const char* name;
+  Timing timing;
+  double alone_s;  // the refusal before the outage
+};
+void PrintTo(const Terms& t, std::ostream* out) { *out << t.name; }
+
+class Gap : public testing::TestWithParam<std::tuple<Terms, int>> {};
+
+// The state service refuses the leader alone, another controller confirms cancellations, then it is
+// down for all for longer than cancel_s while the workers keep reporting to the old leader.
+TEST_P(Gap, CancelledTasksAreGoneInTime) {
+  const auto& [terms, seed] = GetParam();
+  Scenario s(static_cast<std::uint64_t>(seed), 3, 5, terms.timing);
+  std::vector<std::string> ids;
+  for (int i = 0; i < 6; ++i) ids.push_back(s.submit(array(6, 600)));
+  s.world.run_until(60);
+  const int leader = s.leader();
+  ASSERT_GE(leader, 0);
+  s.world.refuse(s.name(leader), "state", true);
+  for (const auto& id : ids) cancel_elsewhere(s, id, leader);
+  s.world.run_until(60 + terms.alone_s);
+  std::size_t told = 0;
+  for (const auto& id : ids) told += s.checker.told_cancelled(id) ? 1 : 0;
+  EXPECT_EQ(told, ids.size());
+  s.state.outage(true);
+  s.world.run_until(60 + terms.alone_s + terms.timing.cancel_s + 30);
+  s.state.outage(false);
+  s.world.refuse(s.name(leader), "state", false);
+  s.world.run_until(60 + terms.alone_s + terms.timing.cancel_s + 60);
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+  EXPECT_EQ(s.checker.starts_after_cancel, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Settings, Gap,
+    testing::Combine(
+        testing::Values(
+            Terms{"short_lease", {}, 0.5}, Terms{"short_lease_long", {}, 12},
+            Terms{"tight", {.report_s = 3, .lease_s = 20, .cancel_s = 40}, 2},
+            Terms{"tightest", {.report_s = 3, .lease_s = 20, .cancel_s = 26}, 2},
+            Terms{"long_lease", {.report_s = 5, .lease_s = 26.5, .cancel_s = 56.5}, 1.5},
+            Terms{"long_lease_late", {.report_s = 5, .lease_s = 26.5, .cancel_s = 56.5}, 20}),
+        testing::Values(1, 2, 3)),
+    [](const auto& info) {
+      return std::string(std::get<0>(info.param).name) + "_" +
+             std::to_string(std::get<1>(info.param));
+    });
+
+// A leader is entitled as long as its grant is touched. One that has claimed the key but cannot
+// read the live jobs would renew the leases of cancelled tasks for ever.
+// Guard: Node::report asks Fleet::current().
+TEST(ViewOfTheLiveJobs, WithoutOneNoLeaseIsRenewed) {
+  Scenario s(41, 3, 3, {.report_s = 3, .lease_s = 20, .cancel_s = 40});
+  const auto id = s.submit(array(4, 400));
+  s.world.run_until(40);
+  const int old = s.leader();
+  ASSERT_GE(old, 0);
+  silence_siblings(s);
+  s.crash(old, 300);
+  cancel_elsewhere(s, id, old);
+  s.world.tamper = [](const std::string&, const HttpRequest& request, HttpResponse& r) {
+    if (asks_for(request, "live/")) r = {503, "{}"};
+  };
+  s.world.run_until(150);
+  EXPECT_GE(s.leader(), 0) << "nobody leads: the test shows nothing";
+  EXPECT_TRUE(s.checker.told_cancelled(id));
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+}
+
+// The same with a view that has grown old: touches are answered, watches are not.
+TEST(ViewOfTheLiveJobs, AnOldOneRenewsNoLease) {
+  Scenario s(42);
+  const auto id = s.submit(array(4, 400));
+  s.world.run_until(40);
+  const int leader = s.leader();
+  ASSERT_GE(leader, 0);
+  silence_siblings(s);
+  s.world.drop = [](const std::string&, const std::string&, const HttpRequest& request) {
+    return asks_for(request, "live/");
+  };
+  s.world.run_until(50);  // the watch that was open is over
+  cancel_elsewhere(s, id, leader);
+  s.world.run_until(150);
+  EXPECT_EQ(s.leader(), leader);
+  EXPECT_TRUE(s.checker.told_cancelled(id));
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+}
+
+// A watch's answer that was held up on its way shows the past: counted from its arrival, the view
+// would pass for fresh.
+TEST(ViewOfTheLiveJobs, IsAsOldAsTheQuestion) {
+  Scenario s(43, 3, 3, {.report_s = 3, .lease_s = 20, .cancel_s = 30});  // 7 s are left for it
+  s.submit(array(4, 400));
+  s.world.run_until(40);
+  // Three seconds on the way, after up to a third of the seven: never fresh for long.
+  std::size_t answered = 0, refused = 0;
+  s.world.tamper = [&](const std::string&, const HttpRequest& request, HttpResponse& r) {
+    if (request.target == "/v1/report") ++(r.status == 200 ? answered : refused);
+  };
+  s.world.slow = [](const HttpRequest& r) { return asks_for(r, "live/") ? 2.9 : 0.0; };
+  s.world.run_until(100);
+  EXPECT_GT(refused, 0U);
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+}
+
+// Leaders that follow one another before the workers report twice to any of them: each first answer
+// renews the leases once. Guard: Fleet::stops_for_ended.
+TEST(Leaders, FirstAnswersStopTasksOfEndedJobs) {
+  Scenario s(44, 3, 3, {.report_s = 3, .lease_s = 20, .cancel_s = 40});
+  const auto id = s.submit(array(2, 400));
+  s.world.run_until(40);
+  const int old = s.leader();
+  ASSERT_GE(old, 0);
+  std::size_t first = 0, stopped = 0;
+  s.crash(old, 30);
+  s.world.drop = [](const std::string&, const std::string&, const HttpRequest& request) {
+    return request.target == "/orders";
+  };
+  cancel_elsewhere(s, id, old);
+  std::set<std::string> seen;
+  s.world.tamper = [&](const std::string&, const HttpRequest& request, HttpResponse& r) {
+    if (request.target != "/v1/report" || r.status != 200) return;
+    const auto in = Json::parse(request.body), out = Json::parse(r.body);
+    bool holds = false;
+    for (const auto& p : in["pieces"]) holds = holds || p["stage"] != "exited";
+    if (!holds || !seen.insert(in["host"]).second) return;
+    ++first;
+    for (const auto& c : out["orders"]) stopped += c["verb"] == "kill" ? 1 : 0;
+  };
+  s.world.run_until(120);
+  EXPECT_GT(first, 0U);
+  EXPECT_GE(stopped, 2U) << "both tasks, in the first answers";
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+}
+
+// The leader alone is refused: its watch tells nothing, handing over takes seconds.
+// Guards: Node::cancelled tells the siblings; Fleet::job_ended stops directly.
+TEST(Cancellations, ReachALeaderThatIsRefusedAlone) {
+  Scenario s(45, 3, 5);
+  const auto id = s.submit(array(8, 400));
+  s.world.run_until(40);
+  const int leader = s.leader();
+  ASSERT_GE(leader, 0);
+  ASSERT_EQ(s.checker.on(id), 8U);
+  s.world.refuse(s.name(leader), "state", true);
+  cancel_elsewhere(s, id, leader);
+  s.world.run_until(41);
+  EXPECT_TRUE(s.checker.told_cancelled(id));
+  EXPECT_EQ(s.checker.on(id), 0U);
+}
+
+// A machine reaches no controller, but commands reach it: waiting for its report, or its lease,
+// leaves its tasks where they are.
+TEST(Cancellations, ReachAMachineThatReachesNobody) {
+  Scenario s(46);
+  const auto id = s.submit(array(4, 400));
+  s.world.run_until(40);
+  ASSERT_EQ(s.checker.on(id), 4U);
+  for (const auto& m : s.cloud.running()) part(s, m->id, true, false, true);
+  s.cancel(id);
+  s.world.run_until(41.5);
+  EXPECT_TRUE(s.checker.told_cancelled(id));
+  EXPECT_EQ(s.checker.on(id), 0U);
+}
+
+// Hangs for less than a lease: the command waits there and is carried out as it goes on, before the
+// task has run for as long as a report takes.
+TEST(Cancellations, WaitForAMachineThatHangs) {
+  Scenario s(47);
+  const auto id = s.submit(array(4, 400));
+  s.world.run_until(40);
+  ASSERT_EQ(s.checker.on(id), 4U);
+  const auto machines = s.cloud.running();
+  for (const auto& m : machines) m->hang(7);
+  s.cancel(id);
+  s.world.run_until(47.1);
+  EXPECT_EQ(s.checker.on(id), 0U);
+  s.world.run_until(120);
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+}
+
+// Cut from the state service and the siblings, but not from its workers: others confirm
+// cancellations that the old leader cannot hear of, while it still has work to start.
+// Guard: Node::may_miss_cancellations.
+TEST(Cancellations, NothingOfThemIsStartedByALeaderThatIsCutOff) {
+  Scenario s(48, 1, 5);
+  std::vector<std::string> ids;
+  // Far more than there is room for: something is started all the time.
+  for (int i = 0; i < 10; ++i) ids.push_back(s.submit(array(60, 4)));
+  s.world.run_until(40);
+  const int old = s.leader();
+  ASSERT_GE(old, 0);
+  for (int i = -1; i < s.count(); ++i) {
+    if (i == old) continue;
+    const std::string other = i < 0 ? "state" : s.name(i);
+    s.world.deafen(s.name(old), other, true);
+    s.world.deafen(other, s.name(old), true);
+  }
+  s.world.run_until(43.5);
+  std::size_t left = 0;
+  for (const auto& id : ids) {
+    if (s.checker.over(id)) continue;
+    ++left;
+    cancel_elsewhere(s, id, old);
+  }
+  ASSERT_GT(left, 2U) << "nothing left to start";
+  s.world.run_until(75);
+  EXPECT_EQ(s.checker.starts_after_cancel, 0U);
+  s.world.hear_again();
+  s.world.run_until(150);
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+}
+
+// In an outage for all nobody confirms anything: what has begun goes on being started.
+TEST(Outage, WorkGoesOnBeingStarted) {
+  Scenario s(49, 1, 5);
+  for (int i = 0; i < 10; ++i) s.submit(array(60, 4));
+  s.world.run_until(40);
+  s.state.outage(true);
+  s.world.run_until(45);
+  const auto before = s.checker.starts;
+  s.world.run_until(52);
+  EXPECT_GT(s.checker.starts, before + 20);
+}
+
+// A job is cancelled while nobody leads; the next leader cannot know whose its tasks are, and their
+// stops are held up. Until they are gone they count against the limit of the team.
+// Guard: Fleet::snapshot, unknown tasks.
+TEST(TeamLimit, HoldsWhileTasksOfAJobCancelledBeforeTheTermRemain) {
+  Scenario s(50);
+  s.submit(array(8, 400, "red"));  // 32 of 40 processors
+  s.world.run_until(20);
+  const auto id = s.submit(array(2, 400, "red"));
+  s.world.run_until(50);
+  ASSERT_EQ(s.checker.on(id), 2U);
+  const int old = s.leader();
+  ASSERT_GE(old, 0);
+  s.crash(old, 5);
+  cancel_elsewhere(s, id, old);
+  const auto later = s.submit(array(4, 30, "red"));
+  // Held up for a while, whichever way they go.
+  s.world.drop = [](const std::string&, const std::string&, const HttpRequest& request) {
+    return request.target == "/orders";
+  };
+  s.world.tamper = [&](const std::string&, const HttpRequest& request, HttpResponse& r) {
+    if (request.target != "/v1/report" || r.status != 200 || s.world.t() > 85) return;
+    auto out = Json::parse(r.body);
+    Json kept = Json::array();
+    for (const auto& c : out["orders"]) {
+      if (c["verb"] != "kill") kept.push_back(c);
+    }
+    out["orders"] = kept;
+    r.body = out.dump();
+  };
+  s.world.run_until(80);
+  EXPECT_EQ(s.checker.on(id), 2U) << "gone already: the test shows nothing";
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+  s.world.drop = nullptr;
+  s.world.run_until(140);
+  EXPECT_GT(s.checker.on(later) + (s.checker.over(later) ? 1U : 0U), 0U);
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+}
+
+// A machine has answered the new leader, under the old token; its next report is held back until
+// its lease has run out and its work has begun elsewhere. Guard: first_session in expire_leases.
+TEST(LateReports, OfASessionThatRanOutBeforeTheLeaderHadReadAnyBringBackNothing) {
+  Scenario s(51);
+  const auto id = s.submit(array(1, 120));
+  s.world.run_until(40);
+  ASSERT_EQ(s.checker.on(id), 1U);
+  const int old = s.leader();
+  ASSERT_GE(old, 0);
+  std::string host, address, body;
+  std::uint64_t token = 0;
+  s.world.tamper = [&](const std::string& to, const HttpRequest& request, HttpResponse& r) {
+    if (request.target != "/v1/report" || !body.empty()) return;
+    const auto in = Json::parse(request.body);
+    if (in["pieces"].empty() || r.status != 200) return;
+    const auto out = Json::parse(r.body);
+    if (token == 0) token = in["baton"];
+    if (out["baton"] == token) return;
+    // First answer under the new token: the machine falls silent now, and what it would have
+    // reported next comes much later.
+    host = in["host"];
+    address = to;
+    auto next = in;
+    next["baton"] = out["baton"];
+    next["tick"] = in["tick"].get<std::uint64_t>() + 1;
+    body = next.dump();
+    s.world.cut(host);
+  };
+  s.crash(old, 0.2);
+  s.world.run_until(62);
+  ASSERT_FALSE(body.empty());
+  s.world.tamper = nullptr;
+  std::size_t orders = 0;
+  s.world.http("copies", address, {"POST", "/v1/report", body}, 4s, [&](const HttpResponse& r) {
+    const auto in = Json::parse(r.body, nullptr, false);
+    if (in.is_object() && in.contains("orders")) orders += in["orders"].size();
+  });
+  s.world.run_until(64);
+  EXPECT_EQ(orders, 0U) << "taken for news";
+  s.world.run_until(400);
+  EXPECT_EQ(s.checker.final_of(id), "done");
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+}
+
+// Jobs of a few tasks whose ends lie far apart, with a new leader between any two.
+TEST(Leaders, FewTasksEndingFarApartEndTheirJobOnce) {
+  for (const std::uint64_t seed : {52, 53, 54}) {
+    Scenario s(seed, 3, 5);
+    std::vector<std::string> ids;
+    for (std::uint32_t n : {2U, 3U, 2U, 3U}) {
+      auto a = array(n, 30);
+      a.spec.cpus = 16;  // one a machine
+      ids.push_back(s.submit(a));
+      s.world.run_until(s.world.t() + 9);
+    }
+    for (double t = 40; t < 160; t += 13) {
+      s.world.at(to_duration(Seconds(t - s.world.t())), [&s] {
+        if (s.leader() >= 0) s.crash(s.leader(), 0.2);
+      });
+    }
+    s.world.at(160s, [&s] { s.checker.troubles_over(); });
+    s.world.run_until(500);
+    for (const auto& id : ids) EXPECT_EQ(s.checker.final_of(id), "done") << id << " seed " << seed;
+    EXPECT_TRUE(s.checker.broken.empty()) << "seed " << seed << "\n" << s.checker.text();
+  }
+}
+
+// Jobs bound to one zone, arrays too, that lose machines there, with a new leader in between.
+TEST(OneZone, HoldsForArraysThatLoseMachines) {
+  for (const std::uint64_t seed : {55, 56, 57}) {
+    Scenario s(seed, 3, 3);
+    for (int i = 0; i < 4; ++i) {
+      auto a = array(6, 40);
+      a.truth.one_zone = true;
+      a.truth.spot = i % 2 == 0;
+      a.spec.gang = i == 3;
+      s.submit(a);
+    }
+    for (double t = 30; t < 120; t += 15) {
+      s.world.at(to_duration(Seconds(t)), [&s] {
+        const auto machines = s.cloud.running();
+        if (!machines.empty()) s.cloud.take(machines.front()->id);
+        if (machines.size() > 2) s.world.cut(machines[1]->id);
+        if (s.leader() >= 0) s.crash(s.leader(), 1);
+      });
+    }
+    s.world.run_until(140);
+    for (const auto& m : s.cloud.running()) s.world.heal(m->id);
+    s.world.run_until(600);
+    for (unsigned i = 1; i <= s.next_job; ++i) {
+      char id[16];
+      std::snprintf(id, sizeof id, "req-%06u", i);
+      EXPECT_EQ(s.checker.final_of(id), "done") << id << " seed " << seed;
+    }
+    EXPECT_TRUE(s.checker.broken.empty()) << "seed " << seed << "\n" << s.checker.text();
+  }
+}
+
+// ---- The checker can fail ----
+
+TEST(Checker, CatchesAnUnsoundJobAccepted) {
+  Scenario s(58);
+  s.world.run_until(10);
+  s.submit_unsound(array(1, 5), [](Json&) {});  // not spoilt at all: it is accepted
+  s.world.run_until(20);
+  EXPECT_TRUE(s.checker.found("unsound")) << s.checker.text();
+}
+
+TEST(Checker, CatchesAJobLeftWaitingBesideRoom) {
+  Scenario s(59);
+  s.submit(array(2, 400));
+  s.world.run_until(30);
+  s.checker.troubles_over();
+  std::string starved;
+  s.world.tamper = [&](const std::string&, const HttpRequest& request, HttpResponse& r) {
+    if (request.target != "/v1/report" || r.status != 200) return;
+    auto out = Json::parse(r.body);
+    Json kept = Json::array();
+    for (const auto& c : out["orders"]) {
+      if (c["verb"] != "run" || c["piece"].get<std::string>().rfind(starved, 0) != 0) {
+        kept.push_back(c);
+      }
+    }
+    out["orders"] = kept;
+    r.body = out.dump();
+  };
+  starved = s.submit(array(1, 5));
+  s.world.run_until(180);
+  EXPECT_TRUE(s.checker.found("waits")) << s.checker.text();
+}
+
+TEST(Checker, CountsStartsAfterACancellation) {
+  Scenario s(60);
+  const auto id = s.submit(array(1, 400));
+  s.world.run_until(30);
+  s.cancel(id);
+  s.world.run_until(35);
+  ASSERT_TRUE(s.checker.told_cancelled(id));
+  const auto m = s.cloud.running().front();
+  s.world.http("copies", m->address,
+               {"POST", "/orders",
+                Json{{"baton", std::uint64_t{1} << 40U},
+                     {"tenure", m->session()},
+                     {"orders", {{{"verb", "run"}, {"piece", id + "/0"}, {"try", 99}}}}}
+                    .dump()},
+               4s, [](const HttpResponse&) {});
+  s.world.run_until(37);
+  EXPECT_EQ(s.checker.starts_after_cancel, 1U);
+}
+
+}  // namespace
