Leaders no longer hand over for ever when all machines are gone

Ruled out: the state service (claims went through each time) and the cloud (never asked, the terms did not settle). A leader that has heard no worker in its term now hands over only to a sibling that hears some, told by the age of the last report in the siblings' messages. Asking this of every leader was tried first: HandOver.WhenTheLeaderAloneLosesTheWorkers failed, workers need up to 6 s to try the next node.

--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -67,6 +67,9 @@
   // Whether no report has come for so long, from several machines, that they cannot all be at
   // fault.
   bool hears_nobody() const;
+  // When the last report came; from none in this term, when it began.
+  TimePoint heard_at() const { return heard_at_; }
+  bool heard_any() const { return heard_any_; }
   // Whether the machine may be given new work.
   bool usable(const Machine& machine) const;
   const std::vector<Demand>& demand() const { return demand_; }
@@ -157,7 +160,7 @@
   TimePoint elected_at_{}, heard_at_{}, next_plan_{}, next_preempt_{}, summed_up_at_{};
   TimePoint view_asked_at_{};  // of the newest view that has arrived
   bool stopped_ = false, loaded_ = false, settled_ = false, plan_wanted_ = false, plan_due_ = false;
-  bool starts_held_ = false;
+  bool starts_held_ = false, heard_any_ = false;
   std::deque<Direct> directs_;
   std::size_t directs_in_flight_ = 0;
   // Cancelled, as siblings say: the watch may yet tell of them as live.
--- a/src/fleet/reports.cpp
+++ b/src/fleet/reports.cpp
@@ -49,6 +49,7 @@
 HttpResponse Fleet::report(const WorkerReport& r) {
   const auto now = runtime_.now();
   heard_at_ = now;
+  heard_any_ = true;
   // The cloud has confirmed that it is gone, and names are not used twice: a late copy.
   if (gone_.count(r.machine) != 0) return {200, wire::encode_commands(token_, {})};
   Machine& m = machines_.at(r.machine);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -104,11 +104,13 @@
   hint.leader = election_.leader();
   hint.token = election_.token();
   hint.sees_store = !store_.seems_down();
-  if (store_.last_answer() != TimePoint{}) {
-    const auto age =
-        std::chrono::duration_cast<milliseconds>(runtime_.now() - store_.last_answer());
-    hint.store_age_ms = static_cast<std::uint32_t>(std::min<std::int64_t>(age.count(), UINT32_MAX));
-  }
+  const auto age_ms = [this](TimePoint at) {
+    if (at == TimePoint{}) return UINT32_MAX;
+    const auto age = std::chrono::duration_cast<milliseconds>(runtime_.now() - at);
+    return static_cast<std::uint32_t>(std::min<std::int64_t>(age.count(), UINT32_MAX));
+  };
+  hint.store_age_ms = age_ms(store_.last_answer());
+  hint.report_age_ms = age_ms(report_heard_);
   hint.resigned = election_.resigned();
   return hint;
 }
@@ -181,9 +183,15 @@
     if (!s.heard_lately(now) || !s.sees_store) continue;
     // Answered there after it first failed here: an outage would be the same for all, and must not
     // cost the leader its entitlement.
-    if (store_lost && s.store_answered <= store_.failing_since()) continue;
+    const bool store_better = store_lost && s.store_answered > store_.failing_since();
+    // One that has not heard a worker in all its term asks more: workers that it does not hear try
+    // the others. Where nobody hears them all machines may be gone, and leaders would hand over for
+    // ever, none of them waiting until the leases have run out.
+    const bool workers_better =
+        workers_lost && (fleet_->heard_any() || s.report_heard > fleet_->heard_at());
+    if (!store_better && !workers_better) continue;
     log::info("{} is better off: the {} here", node,
-              store_lost ? "state service does not answer" : "workers are not heard");
+              store_better ? "state service does not answer" : "workers are not heard");
     election_.resign();
     return;
   }
@@ -194,10 +202,14 @@
   if (!hint) return;
   const auto it = siblings_.find(hint->node);
   if (it == siblings_.end()) return;
-  it->second.heard = runtime_.now();
+  const auto now = runtime_.now();
+  it->second.heard = now;
   it->second.sees_store = hint->sees_store;
   if (hint->store_age_ms != UINT32_MAX) {
-    it->second.store_answered = runtime_.now() - milliseconds(hint->store_age_ms);
+    it->second.store_answered = now - milliseconds(hint->store_age_ms);
+  }
+  if (hint->report_age_ms != UINT32_MAX) {
+    it->second.report_heard = now - milliseconds(hint->report_age_ms);
   }
   if (hint->resigned != 0) election_.succeed(hint->resigned);
   if (fleet_) {
@@ -238,6 +250,7 @@
 }
 
 void Node::report(const std::string& body, const std::function<void(HttpResponse)>& respond) {
+  report_heard_ = runtime_.now();
   if (!election_.leading()) {
     std::string leader = election_.leader();
     if (leader.empty()) leader = hinted_leader_;
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -33,6 +33,7 @@
     TimePoint heard{};
     bool sees_store = false;
     TimePoint store_answered{};  // it, the last that is known of
+    TimePoint report_heard{};    // by it, of a worker, the same
 
     bool heard_lately(TimePoint now) const;
   };
@@ -67,6 +68,7 @@
   std::deque<Cancellation> cancellations_;  // confirmed here lately
   std::string hinted_leader_;
   std::uint64_t hinted_token_ = 0;
+  TimePoint report_heard_{};
   bool types_fresh_ = false;
 };
 
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -5,17 +5,17 @@
 namespace asterstair::wire {
 namespace {
 
-constexpr std::uint32_t kVersion = 3;
+constexpr std::uint32_t kVersion = 4;
 using Packed =
     std::tuple<std::uint32_t, std::string, std::string, std::uint64_t, bool, std::uint32_t,
                std::uint64_t, std::vector<std::tuple<std::string, std::uint32_t, std::uint32_t>>,
-               std::vector<std::string>>;
+               std::vector<std::string>, std::uint32_t>;
 
 }  // namespace
 
 std::string encode_hint(const PeerHint& hint) {
-  Packed packed{kVersion,          hint.node,     hint.leader, hint.token,    hint.sees_store,
-                hint.store_age_ms, hint.resigned, {},          hint.cancelled};
+  Packed packed{kVersion,          hint.node,     hint.leader, hint.token,     hint.sees_store,
+                hint.store_age_ms, hint.resigned, {},          hint.cancelled, hint.report_age_ms};
   auto& counts = std::get<7>(packed);
   counts.reserve(hint.counts.size());
   for (const auto& c : hint.counts) counts.emplace_back(c.job, c.done, c.running);
@@ -36,7 +36,8 @@
                  std::get<5>(packed),
                  std::get<6>(packed),
                  {},
-                 std::get<8>(packed)};
+                 std::get<8>(packed),
+                 std::get<9>(packed)};
     for (const auto& [job, done, running] : std::get<7>(packed)) {
       out.counts.push_back({job, done, running});
     }
--- a/tests/edges_test.cpp
+++ b/tests/edges_test.cpp
@@ -160,13 +160,14 @@
 }
 
 TEST(PeerHints, RoundTripAndRefuseNonsense) {
-  const wire::PeerHint hint{"ghat-1",          "ghat-2",          77, true, 250, 66,
-                            {{"req-1", 3, 4}}, {"req-2", "req-9"}};
+  const wire::PeerHint hint{"ghat-1",          "ghat-2",           77, true, 250, 66,
+                            {{"req-1", 3, 4}}, {"req-2", "req-9"}, 125};
   const auto back = wire::decode_hint(wire::encode_hint(hint));
   ASSERT_TRUE(back);
   EXPECT_EQ(back->leader, "ghat-2");
   EXPECT_EQ(back->token, 77U);
   EXPECT_EQ(back->store_age_ms, 250U);
+  EXPECT_EQ(back->report_age_ms, 125U);
   EXPECT_EQ(back->resigned, 66U);
   ASSERT_EQ(back->counts.size(), 1U);
   EXPECT_EQ(back->counts[0].running, 4U);
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -383,6 +383,23 @@
   }
 }
 
+// All machines are gone as a leader ends: each next one heard no worker for a few seconds and
+// handed over, long before the leases of those on the roster had run out, and so for ever: nothing
+// was started any more. Guard: Node::check_leadership asks whether the sibling hears workers.
+TEST(Leaders, DoNotHandOverForEverWhenAllMachinesAreGone) {
+  Scenario s(61, 3, 5);
+  for (int i = 0; i < 6; ++i) s.submit(array(8, 300));
+  s.world.run_until(40);
+  ASSERT_GE(s.cloud.running().size(), 4U);
+  for (const auto& m : s.cloud.running()) s.cloud.take(m->id);
+  ASSERT_GE(s.leader(), 0);
+  s.crash(s.leader(), 1);
+  const auto id = s.submit(array(1, 5));
+  s.world.run_until(120);
+  EXPECT_EQ(s.checker.final_of(id), "done");
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+}
+
 // Jobs bound to one zone, arrays too, that lose machines there, with a new leader in between.
 TEST(OneZone, HoldsForArraysThatLoseMachines) {
   for (const std::uint64_t seed : {55, 56, 57}) {
