Storms of questions are answered by lists of the live jobs; waits end in time

Now 24 and more questions about live jobs that wait are answered by one list, sent after they came, at most every 0.4 s; both reads of a question end within 1.75 s; the earlier time counts. Ruled out: answering from the leader's view (older than what another node may have told). Settings files with absurd numbers are refused.

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -21,7 +21,9 @@
 
 double number(const toml::table& t, const std::string& where, std::string_view key, double least) {
   const auto v = t[key].value<double>();
-  if (!v || !(*v >= least)) {
+  // Beyond any machine, rate or time that is meant.
+  constexpr double kAbsurd = 1e9;
+  if (!v || !(*v >= least) || *v > kAbsurd) {
     fail(where + std::string(key), "a number of at least " + std::to_string(least) + " is needed");
   }
   return *v;
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::size_t kMostFinals = 4000;
 constexpr int kCancelTries = 4;
+constexpr Duration kSecondRead = 250ms;  // at the least; users wait 2 s for both
 // Users wait at least a second before they ask again, and longer if told.
 constexpr std::chrono::seconds kComeBack{1};
 
@@ -43,36 +44,42 @@
     return;
   }
   // Live before final: a job that ends in between is found by the second read.
-  store_.get(store::live_key(id), [this, id, done = std::move(done)](const store::ReadResult& r) {
-    if (r.outcome == store::ReadOutcome::Found) {
-      Found found;
-      try {
-        found = {Found::Outcome::Live, store::decode_live(*r.item.value), r.item.version, {}};
-      } catch (const wire::BadMessage& e) {
-        log::error("live record of {} is malformed: {}", id, e.what());
-      }
-      done(std::move(found));
-      return;
-    }
-    if (r.outcome == store::ReadOutcome::Unavailable) {
-      done({});
-      return;
-    }
-    store_.get(store::final_key(id), [this, id, done](const store::ReadResult& f) {
-      Found found;
-      if (f.outcome == store::ReadOutcome::Missing) found.outcome = Found::Outcome::Absent;
-      if (f.outcome == store::ReadOutcome::Found) {
-        try {
-          found.final = store::decode_final(*f.item.value);
-          found.outcome = Found::Outcome::Final;
-          remember(id, found.final);
-        } catch (const wire::BadMessage& e) {
-          log::error("final record of {} is malformed: {}", id, e.what());
+  const auto asked = runtime_.now();
+  store_.get(
+      store::live_key(id), [this, id, asked, done = std::move(done)](const store::ReadResult& r) {
+        if (r.outcome == store::ReadOutcome::Found) {
+          Found found;
+          try {
+            found = {Found::Outcome::Live, store::decode_live(*r.item.value), r.item.version, {}};
+          } catch (const wire::BadMessage& e) {
+            log::error("live record of {} is malformed: {}", id, e.what());
+          }
+          done(std::move(found));
+          return;
         }
-      }
-      done(std::move(found));
-    });
-  });
+        if (r.outcome == store::ReadOutcome::Unavailable) {
+          done({});
+          return;
+        }
+        store_.get(
+            store::final_key(id),
+            [this, id, done](const store::ReadResult& f) {
+              Found found;
+              if (f.outcome == store::ReadOutcome::Missing) found.outcome = Found::Outcome::Absent;
+              if (f.outcome == store::ReadOutcome::Found) {
+                try {
+                  found.final = store::decode_final(*f.item.value);
+                  found.outcome = Found::Outcome::Final;
+                  remember(id, found.final);
+                } catch (const wire::BadMessage& e) {
+                  log::error("final record of {} is malformed: {}", id, e.what());
+                }
+              }
+              done(std::move(found));
+            },
+            std::max<Duration>(kSecondRead,
+                               store::kReadPatience + kSecondRead - (runtime_.now() - asked)));
+      });
 }
 
 void Frontend::answer_known(const std::string& id, const Found& found, const Respond& respond,
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -3,6 +3,7 @@
 #include <set>
 
 #include "base/log.hpp"
+#include "store/records.hpp"
 
 namespace asterstair::store {
 namespace {
@@ -16,12 +17,15 @@
 constexpr auto kReadTimeout = 900ms;
 constexpr auto kWriteTimeout = 1500ms;
 constexpr auto kGrantTimeout = 1500ms;
-constexpr auto kReadPatience = 1500ms;   // users wait 2 s for an answer to a poll
 constexpr auto kWritePatience = 3000ms;  // and 5 s for one to a submission
 constexpr std::size_t kMostReads = 400, kMostWrites = 2000;
 constexpr std::size_t kReadsInFlight = 16, kWritesInFlight = 4;
 constexpr std::size_t kLargestTxn = std::size_t{60} * 1024;
-constexpr std::size_t kPageItems = 200;
+constexpr std::size_t kPageItems = 200, kLargestPage = 1000;
+// So many questions about live jobs waiting are answered by one list of these, now and then.
+constexpr std::size_t kTogether = 24;
+constexpr auto kTogetherEvery = 400ms, kTogetherTimeout = 800ms;
+constexpr int kListTries = 20;
 constexpr auto kDownAfter = 2s;
 constexpr auto kRefusalsToldEvery = 10s;
 
@@ -71,10 +75,12 @@
 }
 
 void Store::wake(Duration delay) {
-  if (wake_set_) return;
-  wake_set_ = true;
-  runtime_.after(std::max<Duration>(delay, 2ms), [this] {
-    wake_set_ = false;
+  const auto at = runtime_.now() + std::max<Duration>(delay, 2ms);
+  if (wake_at_ && *wake_at_ <= at) return;
+  wake_at_ = at;
+  runtime_.after(std::max<Duration>(delay, 2ms), [this, at] {
+    if (wake_at_ != at) return;  // an earlier one has been set since, and has looked at everything
+    wake_at_.reset();
     pump();
   });
 }
@@ -84,7 +90,7 @@
   pump_reads();
 }
 
-void Store::get(const std::string& key, std::function<void(ReadResult)> done) {
+void Store::get(const std::string& key, std::function<void(ReadResult)> done, Duration patience) {
   // A read not yet sent serves everybody who asks meanwhile.
   const auto shared = waiting_reads_.find(key);
   if (shared != waiting_reads_.end()) {
@@ -95,7 +101,7 @@
     done({});
     return;
   }
-  reads_.push_back({key, runtime_.now() + kReadPatience, 0, {}});
+  reads_.push_back({key, runtime_.now() + patience, 0, {}});
   reads_.back().done.push_back(std::move(done));
   waiting_reads_[key] = &reads_.back();
   pump_reads();
@@ -103,6 +109,7 @@
 
 void Store::pump_reads() {
   const auto now = runtime_.now();
+  if (reads_.size() >= kTogether) read_live_together();
   while (!reads_.empty()) {
     if (reads_.front().give_up <= now) {
       Read read = std::move(reads_.front());
@@ -111,10 +118,14 @@
       for (auto& done : read.done) done({});
       continue;
     }
-    if (reads_in_flight_ >= kReadsInFlight) return;
+    const auto left = reads_.front().give_up - now;
+    if (reads_in_flight_ >= kReadsInFlight) {
+      wake(left);
+      return;
+    }
     const auto wait = requests_.wait_for(1, now);
     if (wait > Duration::zero()) {
-      wake(wait);
+      wake(std::min<Duration>(wait, left));
       return;
     }
     requests_.take(1, now);
@@ -129,48 +140,95 @@
   ++reads_in_flight_;
   ++read.tries;
   auto shared = std::make_shared<Read>(std::move(read));
-  runtime_.http(
-      address_, wire::get_request(shared->key), kReadTimeout, [this, shared](HttpResponse r) {
-        --reads_in_flight_;
-        note(r.status);
-        const auto now = runtime_.now();
-        if (r.status == 429) requests_.refused(now, kRefusedPause);
-        ReadResult out;
-        if (r.status == 200) {
-          if (auto item = guarded("get", [&] { return wire::decode_item(r.body); })) {
-            out.outcome = ReadOutcome::Found;
-            out.item = std::move(*item);
-          }
-        } else if (r.status == 404) {
-          if (auto revision = guarded("get", [&] { return wire::decode_revision(r.body); })) {
-            out.outcome = ReadOutcome::Missing;
-            out.revision = *revision;
-          }
-        } else if ((r.status == 429 || r.status == 0) && now < shared->give_up &&
-                   shared->tries < 3) {
-          // Later reads of the key may be waiting already; deque entries keep their addresses at
-          // either end.
-          reads_.push_front(std::move(*shared));
-          waiting_reads_.emplace(reads_.front().key, &reads_.front());
-          pump();
-          return;
-        }
-        for (auto& done : shared->done) done(out);
-        pump();
-      });
+  const auto timeout = std::min<Duration>(kReadTimeout, shared->give_up - runtime_.now());
+  runtime_.http(address_, wire::get_request(shared->key), timeout, [this, shared](HttpResponse r) {
+    --reads_in_flight_;
+    note(r.status);
+    const auto now = runtime_.now();
+    if (r.status == 429) requests_.refused(now, kRefusedPause);
+    ReadResult out;
+    if (r.status == 200) {
+      if (auto item = guarded("get", [&] { return wire::decode_item(r.body); })) {
+        out.outcome = ReadOutcome::Found;
+        out.item = std::move(*item);
+      }
+    } else if (r.status == 404) {
+      if (auto revision = guarded("get", [&] { return wire::decode_revision(r.body); })) {
+        out.outcome = ReadOutcome::Missing;
+        out.revision = *revision;
+      }
+    } else if ((r.status == 429 || r.status == 0) && now < shared->give_up && shared->tries < 3) {
+      // Later reads of the key may be waiting already; deque entries keep their addresses at
+      // either end.
+      reads_.push_front(std::move(*shared));
+      waiting_reads_.emplace(reads_.front().key, &reads_.front());
+      pump();
+      return;
+    }
+    for (auto& done : shared->done) done(out);
+    pump();
+  });
+}
+
+// When users ask about their jobs many times as often, reading them one by one uses up the limits.
+// A list sent after the questions came shows every live record as it is then or later, so nobody is
+// given an older answer than by a read of his own. What it lacks is missing.
+void Store::read_live_together() {
+  const auto now = runtime_.now();
+  if (together_in_flight_ || now < next_together_) return;
+  std::deque<Read> others;
+  auto together = std::make_shared<std::vector<Read>>();
+  for (auto& read : reads_) {
+    const bool live = read.key.starts_with(kLivePrefix) && read.give_up > now;
+    if (live) {
+      together->push_back(std::move(read));
+    } else {
+      others.push_back(std::move(read));
+    }
+  }
+  reads_ = std::move(others);
+  waiting_reads_.clear();
+  for (auto& read : reads_) waiting_reads_.emplace(read.key, &read);
+  if (together->size() < kTogether) {
+    for (auto& read : *together) {
+      reads_.push_back(std::move(read));
+      waiting_reads_.emplace(reads_.back().key, &reads_.back());
+    }
+    return;
+  }
+  together_in_flight_ = true;
+  next_together_ = now + kTogetherEvery;
+  list_page({kLivePrefix, kLargestPage, kTogetherTimeout, 1}, "", 0, std::make_shared<ListResult>(),
+            [this, together](const ListResult& r) {
+              together_in_flight_ = false;
+              std::map<std::string_view, const wire::Item*> found;
+              for (const auto& item : r.items) found.emplace(item.key, &item);
+              for (auto& read : *together) {
+                ReadResult out;
+                const auto it = found.find(read.key);
+                if (r.ok && it != found.end()) {
+                  out = {ReadOutcome::Found, *it->second, 0};
+                } else if (r.ok) {
+                  out = {ReadOutcome::Missing, {}, r.revision};
+                }
+                for (auto& done : read.done) done(out);
+              }
+              pump();
+            });
 }
 
 void Store::list(const std::string& prefix, std::function<void(ListResult)> done) {
-  list_page(prefix, "", 0, std::make_shared<ListResult>(), std::move(done));
+  list_page({prefix, kPageItems, 3s, kListTries}, "", 0, std::make_shared<ListResult>(),
+            std::move(done));
 }
 
-void Store::list_page(const std::string& prefix, const std::string& after, int tries,
+void Store::list_page(const ListRequest& request, const std::string& after, int tries,
                       const std::shared_ptr<ListResult>& so_far,
                       std::function<void(ListResult)> done) {
   requests_.force(1, runtime_.now());
   runtime_.http(
-      address_, wire::list_keys_request(prefix, after, kPageItems), 3s,
-      [this, prefix, after, tries, so_far, done = std::move(done)](HttpResponse r) mutable {
+      address_, wire::list_keys_request(request.prefix, after, request.page), request.timeout,
+      [this, request, after, tries, so_far, done = std::move(done)](HttpResponse r) mutable {
         note(r.status);
         if (r.status == 200) {
           if (auto page = guarded("list", [&] { return wire::decode_items(r.body); })) {
@@ -178,7 +236,7 @@
             for (auto& item : page->items) so_far->items.push_back(std::move(item));
             if (page->more && !so_far->items.empty()) {
               const std::string last = so_far->items.back().key;
-              list_page(prefix, last, 0, so_far, std::move(done));
+              list_page(request, last, 0, so_far, std::move(done));
               return;
             }
             so_far->ok = true;
@@ -186,10 +244,10 @@
             return;
           }
         }
-        if (r.status == 429 && tries < 20) {
+        if (r.status == 429 && tries < request.tries) {
           runtime_.after(kRefusedPause,
-                         [this, prefix, after, tries, so_far, done = std::move(done)]() mutable {
-                           list_page(prefix, after, tries + 1, so_far, std::move(done));
+                         [this, request, after, tries, so_far, done = std::move(done)]() mutable {
+                           list_page(request, after, tries + 1, so_far, std::move(done));
                          });
           return;
         }
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -44,11 +44,15 @@
   std::uint64_t revision = 0;  // of the first page: changes after it may be missing
 };
 
+// Users wait 2 s for an answer to a poll: reads are given up before that.
+inline constexpr Duration kReadPatience = 1500ms;
+
 class Store {
  public:
   Store(Runtime& runtime, const Settings& settings);
 
-  void get(const std::string& key, std::function<void(ReadResult)> done);
+  void get(const std::string& key, std::function<void(ReadResult)> done,
+           Duration patience = kReadPatience);
   void list(const std::string& prefix, std::function<void(ListResult)> done);
   void write(wire::Txn txn, Urgency urgency, std::function<void(WriteResult)> done);
   void create_grant(Duration ttl, std::function<void(std::optional<std::uint64_t>)> done);
@@ -86,8 +90,15 @@
   void pump_writes();
   void wake(Duration delay);
   void send_read(Read read);
+  void read_live_together();
   void send_batch(std::size_t urgency, Batch batch);
-  void list_page(const std::string& prefix, const std::string& after, int tries,
+  struct ListRequest {
+    std::string prefix;
+    std::size_t page;
+    Duration timeout;
+    int tries;  // when refused for the limits
+  };
+  void list_page(const ListRequest& request, const std::string& after, int tries,
                  const std::shared_ptr<ListResult>& so_far, std::function<void(ListResult)> done);
   void note(int status);
 
@@ -99,7 +110,9 @@
   std::map<std::string, Read*> waiting_reads_;
   std::deque<Write> writes_[4];
   std::size_t reads_in_flight_ = 0, writes_in_flight_ = 0;
-  bool wake_set_ = false;
+  std::optional<TimePoint> wake_at_;
+  bool together_in_flight_ = false;
+  TimePoint next_together_{};
   TimePoint last_ok_{}, first_bad_{}, refusals_told_at_{};
   std::uint64_t refused_ = 0;
 };
--- a/tests/edges_test.cpp
+++ b/tests/edges_test.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "cloud/catalog.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
 #include "sim/scenario.hpp"
@@ -50,6 +51,43 @@
   EXPECT_LT(leader_ttl(s) + s.lease, s.cancel_within);
 }
 
+// The inequality of docs/design.md, "Why cancelled tasks end in time", for whatever file is taken;
+// a file for which it cannot hold is refused and the field named.
+TEST(SettingsFile, IsTakenOnlyIfCancelledTasksEndInTime) {
+  const auto drifted = [](Duration d) {
+    return to_duration(Seconds(seconds(d) * (1 + kClockDrift)));
+  };
+  std::size_t taken = 0, refused = 0;
+  for (const double report : {1.0, 2.0, 3.0, 5.0}) {
+    for (const double lease : {5.0, 10.0, 20.0, 26.5, 60.0}) {
+      for (const double more : {0.0, 1.0, 3.9, 4.0, 5.2, 7.0, 7.2, 20.0, 30.0, 600.0}) {
+        const sim::Timing t{.report_s = report, .lease_s = lease, .cancel_s = lease + more};
+        try {
+          const auto s = parse_settings(sim::settings_text(0, 3, t));
+          ++taken;
+          EXPECT_LE(drifted(view_limit(s)) + drifted(s.lease) + 500ms, s.cancel_within)
+              << report << " " << lease << " " << more;
+          EXPECT_LE(leader_ttl(s), view_limit(s));
+          EXPECT_GE(view_limit(s), 2s);
+        } catch (const SettingsError& e) {
+          ++refused;
+          EXPECT_NE(std::string(e.what()).find("cancel_s"), std::string::npos) << e.what();
+          EXPECT_LT(more, std::max(2.0, report) + 2.2) << "refused though it could hold";
+        }
+      }
+    }
+  }
+  EXPECT_GT(taken, 40U);
+  EXPECT_GT(refused, 40U);
+}
+
+TEST(SettingsFile, RefusesAbsurdNumbers) {
+  EXPECT_NE(settings_error("lease_s = 10.0", "lease_s = inf").find("lease_s"), std::string::npos);
+  EXPECT_NE(settings_error("lease_s = 10.0", "lease_s = nan").find("lease_s"), std::string::npos);
+  EXPECT_NE(settings_error("value_kb = 8.0", "value_kb = 1e300").find("value_kb"),
+            std::string::npos);
+}
+
 // A leader that falls silent is followed by another while the workers still hold their leases,
 // where these are long enough: a worker needs a time-out of 4 s and a round of the nodes to find
 // it.
@@ -109,11 +147,48 @@
   EXPECT_TRUE(bad("cores", nullptr));
   EXPECT_TRUE(bad("flavors", "g8"));
   EXPECT_TRUE(bad("together", "yes"));
+  // Only what may be null may be left out.
+  for (const char* key :
+       {"ref", "lane", "owner", "shape", "rank", "pieces", "cores", "accelerators", "ramGb",
+        "bundle", "imageGb", "together", "scatter", "loaner", "expectS", "bookmarkS", "stashS"}) {
+    auto j = good;
+    j.erase(key);
+    EXPECT_THROW(wire::decode_job(j), wire::BadMessage) << key;
+  }
+  for (const char* key : {"flavors", "yard", "dueS"}) {
+    auto j = good;
+    j.erase(key);
+    EXPECT_NO_THROW(wire::decode_job(j)) << key;
+  }
   EXPECT_FALSE(bad("dueS", nullptr));
   EXPECT_THROW(wire::parse("[1]"), wire::BadMessage);
   EXPECT_THROW(wire::parse("{\"a\":"), wire::BadMessage);
 }
 
+// A gang that must be spread over zones and may be in one only can never run.
+TEST(Submissions, OfGangsThatCanNeverBeTogetherAreKnown) {
+  cloud::Catalog catalog;
+  MachineType type;
+  type.name = "g8";
+  type.cpus = 96;
+  type.gpus = 8;
+  type.memory_gb = 768;
+  type.zones = {"a", "b"};
+  catalog.set({type});
+  auto job = wire::decode_job(wire::parse(kJob));
+  EXPECT_TRUE(catalog.can_hold(job));
+  job.spread = true;
+  EXPECT_FALSE(catalog.can_hold(job)) << "in one zone, and at most half of it there";
+  job.one_zone = false;
+  EXPECT_TRUE(catalog.can_hold(job));
+  job.zone = "a";
+  EXPECT_FALSE(catalog.can_hold(job));
+  job.kind = JobKind::Array;
+  EXPECT_TRUE(catalog.can_hold(job)) << "one half after the other";
+  job.zone = "atlantis";
+  EXPECT_FALSE(catalog.can_hold(job));
+}
+
 TEST(Reports, AreReadAndAnswered) {
   const auto r =
       wire::decode_report(R"({"host":"n-1","endpoint":"10.1.0.1:9000","flavor":"g8","yard":"a",
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -447,6 +447,35 @@
   EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
 }
 
+// Users ask about their jobs many times as often: each question is answered within the 2 s for
+// which users wait, and the state service is asked far less often than they ask. Guard:
+// Store::read_live_together.
+TEST(Questions, ManyTimesAsOftenAreAnswered) {
+  Scenario s(64);
+  std::vector<std::string> ids;
+  for (int i = 0; i < 300; ++i) {
+    s.world.at(to_duration(Seconds(i * 0.1)), [&] { ids.push_back(s.submit(array(1, 400))); });
+  }
+  s.world.run_until(60);
+  std::size_t asked = 0, answered = 0, at_state = 0;
+  s.world.drop = [&](const std::string&, const std::string&, const HttpRequest& request) {
+    at_state += request.target.rfind("/keys", 0) == 0 ? 1 : 0;
+    return false;
+  };
+  for (double t = 0; t < 20; t += 0.001) {
+    s.world.at(to_duration(Seconds(t)), [&] {
+      const auto& id = ids[static_cast<std::size_t>(s.world.uniform(0, 299.9))];
+      ++asked;
+      s.ask_node(id, {"GET", "/v2/runs/" + id, ""}, 2s, false,
+                 [&](int status) { answered += status == 200 ? 1 : 0; });
+    });
+  }
+  s.world.run_until(85);
+  EXPECT_GT(answered, asked * 95 / 100) << "of " << asked;
+  EXPECT_LT(at_state, asked / 4);
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+}
+
 // Jobs bound to one zone, arrays too, that lose machines there, with a new leader in between.
 TEST(OneZone, HoldsForArraysThatLoseMachines) {
   for (const std::uint64_t seed : {55, 56, 57}) {
