--- a/tests/formulas_test.cpp
+++ b/tests/formulas_test.cpp
@@ -141,6 +141,32 @@
   EXPECT_EQ(placed(plan(s, rng), 0), 3U);
 }
 
+// Room is kept for a gang that waits; whoever has nothing anywhere for long may use it all the
+// same: no job is left waiting for 90 s beside a machine with room.
+TEST_F(Placing, AnOverdueJobTakesWhatIsKeptForOthers) {
+  machine(cpu, "a");
+  s.machines[0].free = {10, 0, 60};
+  job(1, 16, JobKind::Gang);
+  s.jobs[0].waited = Seconds(60);
+  s.jobs[0].slack = 1;
+  job(2, 2);
+  EXPECT_EQ(placed(plan(s, rng), 1), 0U);
+  s.machines[0].reserved_for = SIZE_MAX;
+  s.jobs[1].overdue = true;
+  EXPECT_EQ(placed(plan(s, rng), 1), 2U);
+}
+
+// The same for processors that are left alone beside accelerators which will be wanted.
+TEST_F(Placing, AnOverdueArrayTakesProcessorsBesideAccelerators) {
+  machine(gpu, "a");
+  s.keep_gpus = 100;
+  s.cpus_per_gpu = 8;
+  job(2, 2);
+  EXPECT_EQ(placed(plan(s, rng), 0), 0U);
+  s.jobs[0].overdue = true;
+  EXPECT_EQ(placed(plan(s, rng), 0), 2U);
+}
+
 TEST_F(Placing, PutsGuaranteesBeforePriorityBeforeSlack) {
   machine(cpu, "a");
   auto& late = job(8, 2);
