--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -514,6 +514,39 @@
   EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
 }
 
+// A job's last task has ended, and the leader's note of it gets no answer; its user calls the job
+// off through another node and is told so; then the note is carried out after all. Guard:
+// store::end_job, conditional on the live record.
+TEST(LateTransactions, DoNotEndAJobTwice) {
+  Scenario s(66);
+  const auto id = s.submit(array(1, 20));
+  s.world.run_until(20);
+  const int leader = s.leader();
+  ASSERT_GE(leader, 0);
+  std::string held;
+  s.world.drop = [&](const std::string& from, const std::string&, const HttpRequest& request) {
+    if (from != s.name(leader) || request.target != "/txn" ||
+        request.body.find("final/") == std::string::npos) {
+      return false;
+    }
+    held = request.body;
+    return true;
+  };
+  for (double t = 20; t < 80 && held.empty(); t += 0.1) s.world.run_until(t);
+  ASSERT_FALSE(held.empty());
+  cancel_elsewhere(s, id, leader);
+  s.world.run_until(s.world.t() + 1);
+  ASSERT_TRUE(s.checker.told_cancelled(id));
+  s.world.drop = nullptr;
+  int status = -1;
+  s.world.http(s.name(leader), "10.2.0.1:2379", {"POST", "/txn", held}, 4s,
+               [&](const HttpResponse& r) { status = r.status; });
+  s.world.run_until(s.world.t() + 30);
+  EXPECT_EQ(status, 409);
+  EXPECT_EQ(s.checker.final_of(id), "withdrawn");
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+}
+
 // Jobs bound to one zone, arrays too, that lose machines there, with a new leader in between.
 TEST(OneZone, HoldsForArraysThatLoseMachines) {
   for (const std::uint64_t seed : {55, 56, 57}) {
