--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -9,18 +9,6 @@
 
 using namespace sim;
 
-Scenario::Ask array(std::uint32_t tasks, double run_s, const std::string& team = "blue") {
-  Scenario::Ask a;
-  a.truth.team = team;
-  a.spec.tasks = tasks;
-  a.spec.cpus = 4;
-  a.spec.memory_gb = 1;
-  a.spec.run_s = run_s;
-  a.spec.image = "img";
-  a.spec.image_gb = 0.1;
-  return a;
-}
-
 bool asks_for(const HttpRequest& r, std::string_view prefix) {
   return r.target.find("prefix=" + std::string(prefix)) != std::string::npos;
 }
@@ -245,12 +233,7 @@
   s.world.run_until(40);
   const int old = s.leader();
   ASSERT_GE(old, 0);
-  for (int i = -1; i < s.count(); ++i) {
-    if (i == old) continue;
-    const std::string other = i < 0 ? "state" : s.name(i);
-    s.world.deafen(s.name(old), other, true);
-    s.world.deafen(other, s.name(old), true);
-  }
+  s.leave_alone(old, true);
   s.world.run_until(43.5);
   std::size_t left = 0;
   for (const auto& id : ids) {
@@ -298,14 +281,8 @@
     return request.target == "/orders";
   };
   s.world.tamper = [&](const std::string&, const HttpRequest& request, HttpResponse& r) {
-    if (request.target != "/v1/report" || r.status != 200 || s.world.t() > 85) return;
-    auto out = Json::parse(r.body);
-    Json kept = Json::array();
-    for (const auto& c : out["orders"]) {
-      if (c["verb"] != "kill") kept.push_back(c);
-    }
-    out["orders"] = kept;
-    r.body = out.dump();
+    if (s.world.t() > 85) return;
+    take_out(request, r, [](const Json& c) { return c["verb"] == "kill"; });
   };
   s.world.run_until(80);
   EXPECT_EQ(s.checker.on(id), 2U) << "gone already: the test shows nothing";
@@ -595,16 +572,9 @@
   s.checker.troubles_over();
   std::string starved;
   s.world.tamper = [&](const std::string&, const HttpRequest& request, HttpResponse& r) {
-    if (request.target != "/v1/report" || r.status != 200) return;
-    auto out = Json::parse(r.body);
-    Json kept = Json::array();
-    for (const auto& c : out["orders"]) {
-      if (c["verb"] != "run" || c["piece"].get<std::string>().rfind(starved, 0) != 0) {
-        kept.push_back(c);
-      }
-    }
-    out["orders"] = kept;
-    r.body = out.dump();
+    take_out(request, r, [&](const Json& c) {
+      return c["verb"] == "run" && c["piece"].get<std::string>().rfind(starved, 0) == 0;
+    });
   };
   starved = s.submit(array(1, 5));
   s.world.run_until(180);
--- a/tests/random_runs_test.cpp
+++ b/tests/random_runs_test.cpp
@@ -137,18 +137,10 @@
     });
   }
   if (day.alone) {
-    often(45, [&s, &w, n] {
+    often(45, [&s, &w] {
       const int which = s.leader() >= 0 && w.chance(0.8) ? s.leader() : s.any_node();
-      const auto apart = [&s, &w, which, n](bool on) {
-        for (int i = -1; i < n; ++i) {
-          if (i == which) continue;
-          const std::string other = i < 0 ? "state" : s.name(i);
-          w.deafen(s.name(which), other, on);
-          w.deafen(other, s.name(which), on);
-        }
-      };
-      apart(true);
-      w.at(to_duration(Seconds(w.uniform(5, 50))), [apart] { apart(false); });
+      s.leave_alone(which, true);
+      w.at(to_duration(Seconds(w.uniform(5, 50))), [&s, which] { s.leave_alone(which, false); });
     });
   }
   if (day.flapping) {
@@ -497,14 +489,7 @@
 TEST(Checker, CatchesACancelledTaskLeftRunning) {
   Scenario s(13);
   s.world.tamper = [](const std::string&, const HttpRequest& request, HttpResponse& r) {
-    if (request.target != "/v1/report" || r.status != 200) return;
-    auto out = Json::parse(r.body);
-    Json kept = Json::array();
-    for (const auto& c : out["orders"]) {
-      if (c["verb"] != "kill") kept.push_back(c);
-    }
-    out["orders"] = kept;
-    r.body = out.dump();
+    take_out(request, r, [](const Json& c) { return c["verb"] == "kill"; });
   };
   s.world.drop = [](const std::string&, const std::string&, const HttpRequest& request) {
     return request.target == "/orders";
--- a/tests/sim/scenario.hpp
+++ b/tests/sim/scenario.hpp
@@ -211,6 +211,15 @@
     p.runtime.reset();
     world.at(to_duration(Seconds(back_s)), [this, i] { boot(i); });
   }
+  // Cuts the node from the state service and the other nodes, but not from workers and users.
+  void leave_alone(int node, bool on) {
+    for (int i = -1; i < count(); ++i) {
+      if (i == node) continue;
+      const std::string other = i < 0 ? "state" : name(i);
+      world.deafen(name(node), other, on);
+      world.deafen(other, name(node), on);
+    }
+  }
   int leader() const {
     for (int i = 0; i < count(); ++i) {
       if (nodes[static_cast<std::size_t>(i)].node &&
@@ -357,4 +366,30 @@
   std::uint64_t reports = 0;
 };
 
+// An array of tasks that fit four to a machine and never save.
+inline Scenario::Ask array(std::uint32_t tasks, double run_s, const std::string& team = "blue") {
+  Scenario::Ask a;
+  a.truth.team = team;
+  a.spec.tasks = tasks;
+  a.spec.cpus = 4;
+  a.spec.memory_gb = 1;
+  a.spec.run_s = run_s;
+  a.spec.image = "img";
+  a.spec.image_gb = 0.1;
+  return a;
+}
+
+// Takes the orders of which this says so out of the answer to a report.
+inline void take_out(const HttpRequest& request, HttpResponse& r,
+                     const std::function<bool(const Json&)>& which) {
+  if (request.target != "/v1/report" || r.status != 200) return;
+  auto out = Json::parse(r.body);
+  Json kept = Json::array();
+  for (const auto& c : out["orders"]) {
+    if (!which(c)) kept.push_back(c);
+  }
+  out["orders"] = kept;
+  r.body = out.dump();
+}
+
 }  // namespace sim
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -10,18 +10,6 @@
 
 using namespace sim;
 
-Scenario::Ask array(std::uint32_t tasks, double run_s) {
-  Scenario::Ask a;
-  a.truth.team = "blue";
-  a.spec.tasks = tasks;
-  a.spec.cpus = 4;
-  a.spec.memory_gb = 1;
-  a.spec.run_s = run_s;
-  a.spec.image = "img";
-  a.spec.image_gb = 0.1;
-  return a;
-}
-
 // Reports arrive, answers and commands do not: without a guard the leader would send it work again
 // and again, for as long as the trouble lasts.
 TEST(DeafMachine, GetsNoMoreWorkAndIsReturned) {
@@ -178,12 +166,7 @@
   s.world.run_until(40);
   const int old = s.leader();
   ASSERT_GE(old, 0);
-  for (int i = -1; i < s.count(); ++i) {
-    if (i == old) continue;
-    const std::string other = i < 0 ? "state" : s.name(i);
-    s.world.deafen(s.name(old), other, true);
-    s.world.deafen(other, s.name(old), true);
-  }
+  s.leave_alone(old, true);
   s.world.at(2s, [&] { s.cancel(id); });
   int next = -1;
   for (double t = 40; t < 75 && next < 0; t += 0.5) {
@@ -230,16 +213,10 @@
   Scenario s(26);
   // Nothing is ever started for gangs.
   s.world.tamper = [&](const std::string&, const HttpRequest& request, HttpResponse& r) {
-    if (request.target != "/v1/report" || r.status != 200) return;
-    auto out = Json::parse(r.body);
-    Json kept = Json::array();
-    for (const auto& c : out["orders"]) {
+    take_out(request, r, [&](const Json& c) {
       const auto piece = c["piece"].get<std::string>();
-      const bool gang = s.jobs.specs.at(piece.substr(0, piece.find('/'))).gang;
-      if (c["verb"] != "run" || !gang) kept.push_back(c);
-    }
-    out["orders"] = kept;
-    r.body = out.dump();
+      return c["verb"] == "run" && s.jobs.specs.at(piece.substr(0, piece.find('/'))).gang;
+    });
   };
   for (int i = 0; i < 6; ++i) {
     auto a = array(2, 10);
