Preemption counts the room that is being made on all machines

Cause: above 96 fitting machines a round looks at a random sample of 64; what earlier rounds had freed on the others was not seen, and others were stopped again for the same tasks until the first stops had been carried out. Ruled out: the order of jobs, which planning and preempting share. Change: machines on which enough is being freed are always looked at, with the sample.

--- a/src/sched/planner.cpp
+++ b/src/sched/planner.cpp
@@ -455,6 +455,20 @@
   }
 };
 
+// A random sample, and with it every machine on which enough is being freed already: without these
+// each round would stop others, elsewhere, for the same waiting tasks.
+std::vector<std::size_t> preemption_sample(const Snapshot& s, const JobSpec& job,
+                                           const std::vector<std::size_t>& candidates, Rng& rng) {
+  std::vector<std::size_t> chosen, rest;
+  for (const auto m : candidates) {
+    const auto& machine = s.machines[m];
+    const bool being_freed = machine.freeing.cpus > 0 || machine.freeing.gpus > 0;
+    (being_freed && has_room(job, machine.free) ? chosen : rest).push_back(m);
+  }
+  std::sample(rest.begin(), rest.end(), std::back_inserter(chosen), kSample, rng);
+  return chosen;
+}
+
 }  // namespace
 
 std::vector<std::size_t> preempt(Snapshot& s, Plan& plan, const std::vector<PlanVictim>& victims,
@@ -495,9 +509,7 @@
     }
     plan.steps += s.machines.size();
     if (candidates.size() > kSampleAbove && !j.job->one_zone) {
-      std::vector<std::size_t> sample;
-      std::sample(candidates.begin(), candidates.end(), std::back_inserter(sample), kSample, rng);
-      candidates = std::move(sample);
+      candidates = preemption_sample(s, *j.job, candidates, rng);
     }
     std::vector<MakingRoom> making;
     for (const auto m : candidates) {
--- a/tests/formulas_test.cpp
+++ b/tests/formulas_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "sched/loss.hpp"
 #include "sched/planner.hpp"
 #include "sched/score.hpp"
@@ -227,4 +229,40 @@
   EXPECT_EQ(preempt(s, none, victims, rng), std::vector<std::size_t>{0});
 }
 
+// Stops take a moment to be carried out, and rounds follow one another sooner. With a random sample
+// of machines each round found room being made on some of them only, and stopped others once more
+// for the same tasks. Guard: preemption_sample.
+TEST_F(Placing, StopsNoMoreWhileRoomIsBeingMade) {
+  constexpr std::size_t kMachines = 300, kTasksOnEach = 16;
+  for (std::size_t m = 0; m < kMachines; ++m) machine(cpu, "a");
+  JobSpec running = job(1, 1);
+  s.jobs.clear();
+  running.priority = Priority::Low;
+  job(40, 4);
+  std::vector<PlanVictim> victims;
+  for (std::size_t m = 0; m < kMachines; ++m) {
+    s.machines[m].free = {0, 0, 60};
+    for (std::size_t n = 0; n < kTasksOnEach; ++n) {
+      victims.push_back({m, victims.size(), &running, 5});
+    }
+  }
+  const Snapshot before = s;
+  Plan none{{}, {{0, 40}}};
+  const auto stopped = preempt(s, none, victims, rng);
+  EXPECT_EQ(stopped.size(), 160U);
+
+  // The next round: told, and not yet gone.
+  s = before;
+  std::vector<PlanVictim> left;
+  for (const auto& v : victims) {
+    if (std::find(stopped.begin(), stopped.end(), v.ref) != stopped.end()) {
+      s.machines[v.machine].freeing.add(running);
+    } else {
+      left.push_back(v);
+    }
+  }
+  Plan again{{}, {{0, 40}}};
+  EXPECT_TRUE(preempt(s, again, left, rng).empty());
+}
+
 }  // namespace
