Planning in modules: resources, constraints, order, sampling, placing, preemption

No change of behaviour: one class and one function of 580 lines became modules with one job each; a reserved machine is an optional index instead of a sentinel, Use is named Resources.

--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "base/log.hpp"
+#include "sched/constraints.hpp"
 #include "sched/score.hpp"
 
 namespace asterstair::autoscale {
@@ -37,7 +38,7 @@
     const MachineType* type;
     std::string zone;
     bool spot;
-    sched::Use free;
+    sched::Resources free;
   };
   std::vector<Empty> machines;
   for (const auto& [id, c] : coming) {
@@ -100,7 +101,7 @@
     }
     if (best == nullptr) continue;
     // Short tasks share a machine one after the other while others would still be booting.
-    sched::Use whole{best->cpus, best->gpus, best->memory_gb};
+    sched::Resources whole{best->cpus, best->gpus, best->memory_gb};
     double per_machine = 0;
     while (per_machine < left && sched::fits(job, whole)) {
       whole.add(job, -1);
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -73,13 +73,13 @@
 
 // How full the fleet is, for whoever reads the log.
 void Fleet::sum_up() const {
-  sched::Use room, used;
+  sched::Resources room, used;
   std::size_t up = 0, waiting = 0;
   for (const auto& [id, m] : machines_.all()) {
     const auto* type = catalog_.find(m.type);
     if (type == nullptr || !m.reported || m.silent) continue;
     ++up;
-    room.add(sched::Use{type->cpus, type->gpus, type->memory_gb});
+    room.add(sched::Resources{type->cpus, type->gpus, type->memory_gb});
     used.add(m.holding.used);
   }
   for (const auto& d : demand_) waiting += d.tasks;
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -16,7 +16,7 @@
 #include "fleet/machines.hpp"
 #include "leader/election.hpp"
 #include "sched/loss.hpp"
-#include "sched/planner.hpp"
+#include "sched/snapshot.hpp"
 #include "store/store.hpp"
 
 namespace asterstair::fleet {
@@ -181,7 +181,7 @@
   sched::LossRates losses_;
   mutable std::map<std::pair<std::string, bool>, std::size_t> sizes_;
   mutable TimePoint sizes_at_{};
-  std::map<std::string, sched::Use> team_use_;  // the sum of what the machines hold
+  std::map<std::string, sched::Resources> team_use_;  // the sum of what the machines hold
   std::vector<Machine*> planned_machines_;
   std::vector<Job*> planned_jobs_;
   std::vector<Demand> demand_;
--- a/src/fleet/machines.hpp
+++ b/src/fleet/machines.hpp
@@ -10,7 +10,7 @@
 
 #include "base/model.hpp"
 #include "base/time.hpp"
-#include "sched/planner.hpp"
+#include "sched/snapshot.hpp"
 
 namespace asterstair::fleet {
 
@@ -47,9 +47,9 @@
 
 // What a machine's occupants hold, by team, and where it matters by job.
 struct Holding {
-  sched::Use used, freeing;  // freeing: the part held by tasks that have been told to stop
-  bool unknown = false;      // a task of a job this node knows nothing of
-  std::vector<std::pair<std::string, sched::Use>> teams;
+  sched::Resources used, freeing;  // freeing: the part held by tasks that have been told to stop
+  bool unknown = false;            // a task of a job this node knows nothing of
+  std::vector<std::pair<std::string, sched::Resources>> teams;
   std::vector<std::pair<JobSpecPtr, std::uint32_t>> zoned;  // jobs with rules on zones
 };
 
--- a/src/fleet/moving.cpp
+++ b/src/fleet/moving.cpp
@@ -5,6 +5,7 @@
 
 #include "base/log.hpp"
 #include "fleet/fleet.hpp"
+#include "sched/constraints.hpp"
 #include "sched/score.hpp"
 
 namespace asterstair::fleet {
@@ -76,21 +77,21 @@
     for (const auto& [key, o] : m.occupants) {
       if (!o.holds_room() || o.job->checkpoint.count() <= 0) continue;
       // The fullest that has room.
-      std::size_t best = SIZE_MAX;
+      std::optional<std::size_t> best;
       for (std::size_t to = 0; to < s.machines.size(); ++to) {
         const auto& t = s.machines[to];
         if (to == from || leaving[to] || t.empty() || t.price() > s.machines[from].price())
           continue;
         if (o.job->one_zone || o.job->spread) continue;
         if (!sched::allowed_on(*o.job, t) || !sched::fits(*o.job, t.free)) continue;
-        if (best == SIZE_MAX || idle(t) < idle(s.machines[best])) best = to;
+        if (!best || idle(t) < idle(s.machines[*best])) best = to;
       }
-      if (best == SIZE_MAX) {
+      if (!best) {
         fits = false;
         break;
       }
-      s.machines[best].free.add(*o.job, -1);
-      moves.emplace_back(best, o.job.get());
+      s.machines[*best].free.add(*o.job, -1);
+      moves.emplace_back(*best, o.job.get());
     }
     if (!fits) {
       for (const auto& [to, job] : moves) s.machines[to].free.add(*job);
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -4,6 +4,9 @@
 
 #include "base/log.hpp"
 #include "fleet/fleet.hpp"
+#include "sched/order.hpp"
+#include "sched/planner.hpp"
+#include "sched/preemption.hpp"
 
 namespace asterstair::fleet {
 namespace {
@@ -16,7 +19,7 @@
 constexpr Seconds kKeepFor{20};
 constexpr std::uint32_t kFirstTasks = 16;  // of an array that nothing is anywhere of for long
 constexpr auto kPreemptEvery = 300ms;
-constexpr sched::Use kUnbounded{1e9, 1e9, 0};  // of a machine whose type is not known
+constexpr sched::Resources kUnbounded{1e9, 1e9, 0};  // of a machine whose type is not known
 
 }  // namespace
 
@@ -35,14 +38,14 @@
   planned_machines_.clear();
   planned_jobs_.clear();
   std::unordered_map<std::string, std::map<std::string, std::uint32_t>> in_zone;
-  sched::Use unknown;
+  sched::Resources unknown;
   s.machines.reserve(machines_.all().size());
   for (auto& [id, m] : machines_.all()) {
     refresh(m);
     for (const auto& [job, n] : m.holding.zoned) in_zone[job->id][m.zone] += n;
     const auto* type = catalog_.find(m.type);
     if (m.holding.unknown) {
-      unknown.add(type == nullptr ? kUnbounded : sched::Use{type->cpus, type->gpus, 0});
+      unknown.add(type == nullptr ? kUnbounded : sched::Resources{type->cpus, type->gpus, 0});
       unknown.add(m.holding.used, -1);
       continue;
     }
--- a/tests/formulas_test.cpp
+++ b/tests/formulas_test.cpp
@@ -5,7 +5,9 @@
 #include <algorithm>
 
 #include "sched/loss.hpp"
+#include "sched/order.hpp"
 #include "sched/planner.hpp"
+#include "sched/preemption.hpp"
 #include "sched/score.hpp"
 
 namespace {
@@ -153,7 +155,7 @@
   s.jobs[0].slack = 1;
   job(2, 2);
   EXPECT_EQ(placed(plan(s, rng), 1), 0U);
-  s.machines[0].reserved_for = SIZE_MAX;
+  s.machines[0].reserved_for.reset();
   s.jobs[1].overdue = true;
   EXPECT_EQ(placed(plan(s, rng), 1), 2U);
 }
@@ -231,7 +233,7 @@
 
 // Stops take a moment to be carried out, and rounds follow one another sooner. With a random sample
 // of machines each round found room being made on some of them only, and stopped others once more
-// for the same tasks. Guard: preemption_sample.
+// for the same tasks. Guard: Preemption::sample_of.
 TEST_F(Placing, StopsNoMoreWhileRoomIsBeingMade) {
   constexpr std::size_t kMachines = 300, kTasksOnEach = 16;
   for (std::size_t m = 0; m < kMachines; ++m) machine(cpu, "a");
