Autoscaler: the pure decision apart from the requests to the cloud, in short functions

No change of behaviour: desired_machines() and its search have a module of their own; renting and returning are split into steps; names say desired, pending, release.

--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -16,12 +16,12 @@
 constexpr auto kRentAgain = 200ms;  // after an answer, while more is wanted
 constexpr auto kAskAgain = 2s;      // an unanswered rental, with its name
 constexpr int kAskTries = 30;
+constexpr Seconds kUnknownBoot{60};  // of a type that is not known
 constexpr double kBootPatience = 4;  // times the nominal boot time
 constexpr auto kBootExtra = 20s;
 constexpr double kIdleBoots = 1;     // an idle machine is kept so many boot times
 constexpr int kAwaitedBoots = 5;     // longer, while a gang may be waiting for it
 constexpr double kTightBoots = 2.5;  // boots may take that much longer than stated
-constexpr double kBacklogBoots = 0.75;
 constexpr auto kConsolidateEvery = 3s;
 constexpr auto kTakeOverPatience = 4s;
 constexpr auto kLull = 20s;
@@ -30,107 +30,6 @@
 
 }  // namespace
 
-std::vector<Want> wanted(const std::vector<fleet::Demand>& demand, const cloud::Catalog& catalog,
-                         const std::map<std::string, Coming>& coming,
-                         const std::function<bool(const Pool&)>& refused,
-                         const std::function<double(const Pool&)>& loss_rate, Seconds backlog) {
-  struct Empty {
-    const MachineType* type;
-    std::string zone;
-    bool spot;
-    sched::Resources free;
-  };
-  std::vector<Empty> machines;
-  for (const auto& [id, c] : coming) {
-    if (const auto* t = catalog.find(c.pool.type)) {
-      machines.push_back({t, c.pool.zone, c.pool.spot, {t->cpus, t->gpus, t->memory_gb}});
-    }
-  }
-  std::vector<Want> out;
-  for (const auto& d : demand) {
-    const JobSpec& job = *d.job;
-    double left = d.tasks;
-    for (auto& m : machines) {
-      if (left < 1) break;
-      if (!job.allows_type(m.type->name) || (m.spot && !job.spot) ||
-          (job.zone && *job.zone != m.zone)) {
-        continue;
-      }
-      while (left >= 1 && sched::fits(job, m.free)) {
-        m.free.add(job, -1);
-        left -= 1;
-      }
-    }
-    if (left < 1) continue;
-    // The type that holds a task most cheaply, of those to be had.
-    const MachineType* best = nullptr;
-    double best_price = 0;
-    bool best_spot = false;
-    for (const auto& [name, t] : catalog.types()) {
-      if (!job.allows_type(name) || t.fits(job) == 0) continue;
-      // Accelerators are for those that need them, unless the arrays that do not will queue for
-      // longer than such a machine takes to come up.
-      if (job.gpus <= 0 && t.gpus > 0 && (job.gang() || backlog < t.boot * kBacklogBoots)) continue;
-      for (const bool spot : {true, false}) {
-        if (spot && !job.spot) continue;
-        double rate = -1;  // of the safest zone to be had
-        for (const auto& z : t.zones) {
-          const Pool pool{name, z, spot};
-          if ((job.zone && *job.zone != z) || refused(pool)) continue;
-          rate = rate < 0 ? loss_rate(pool) : std::min(rate, loss_rate(pool));
-        }
-        if (rate < 0) continue;
-        // All the type's room counts: other tasks will share the machine.
-        double per_machine = t.cpus / std::max(job.cpus, 1e-9);
-        if (job.gpus > 0) per_machine = std::min(per_machine, t.gpus / job.gpus);
-        if (job.memory_gb > 0) per_machine = std::min(per_machine, t.memory_gb / job.memory_gb);
-        // Work that is lost is bought again.
-        const double again = 1 + sched::takeback_chance(rate, d.remaining);
-        const double price =
-            (spot ? t.spot_price : t.price) * again / std::floor(per_machine + 1e-6);
-        const bool plainer = best != nullptr && job.gpus <= 0 && best->gpus <= 0 && t.gpus > 0;
-        // What is to start at once takes what is up first, then what costs least.
-        const bool sooner = best != nullptr && d.urgent && t.boot != best->boot;
-        const bool better = best == nullptr || (sooner ? t.boot < best->boot : price < best_price);
-        if (!plainer && better) {
-          best = &t;
-          best_price = price;
-          best_spot = spot;
-        }
-      }
-    }
-    if (best == nullptr) continue;
-    // Short tasks share a machine one after the other while others would still be booting.
-    sched::Resources whole{best->cpus, best->gpus, best->memory_gb};
-    double per_machine = 0;
-    while (per_machine < left && sched::fits(job, whole)) {
-      whole.add(job, -1);
-      per_machine += 1;
-    }
-    const double at_once = std::ceil(left / per_machine);
-    const double turns = std::max(1.0, best->boot.count() / std::max(d.remaining.count(), 1.0));
-    const auto count = static_cast<std::size_t>(std::max(1.0, std::ceil(at_once / turns)));
-    // One request for all that want the same: the cloud counts requests.
-    const auto same = std::find_if(out.begin(), out.end(), [&](const Want& w) {
-      return w.type == best->name && w.spot == best_spot && w.job->zone == job.zone;
-    });
-    if (same != out.end()) {
-      same->count += count;
-    } else {
-      out.push_back({best->name, count, best_spot, &job});
-    }
-    for (std::size_t i = 0; i < count; ++i) {
-      machines.push_back({best,
-                          job.zone.value_or(best->zones.front()),
-                          best_spot,
-                          {best->cpus, best->gpus, best->memory_gb}});
-      auto& m = machines.back();
-      for (double n = 0; n < per_machine && sched::fits(job, m.free); n += 1) m.free.add(job, -1);
-    }
-  }
-  return out;
-}
-
 Autoscaler::Autoscaler(Runtime& runtime, cloud::Cloud& cloud, const leader::Election& election,
                        const Settings& settings, const cloud::Catalog& catalog,
                        std::shared_ptr<fleet::Fleet> fleet)
@@ -154,7 +53,7 @@
     last_list_ = now;
     list("", std::make_shared<std::vector<ListedMachine>>());
   }
-  give_back();
+  return_machines();
   if (now - last_consolidation_ >= kConsolidateEvery) {
     last_consolidation_ = now;
     // Only in a lull: while work keeps arriving the room will be wanted again.
@@ -199,9 +98,9 @@
     const auto known = fleet_->machines().all().find(m.id);
     if (m.state == ListedMachine::State::Failed) {
       to_return_.insert(m.id);
-    } else if (known == fleet_->machines().all().end() && coming_.count(m.id) == 0) {
+    } else if (known == fleet_->machines().all().end() && pending_.count(m.id) == 0) {
       // Rented by an earlier leader, or by a request thought lost: used like any other.
-      coming_[m.id] = {{m.type, m.zone, m.spot}, now - to_duration(m.age), now};
+      pending_[m.id] = {{m.type, m.zone, m.spot}, now - to_duration(m.age), now};
     }
   }
   // A take-over waits for every machine that may hold tasks. Of those that neither report nor are
@@ -212,9 +111,9 @@
     }
   }
   // Taken back or given up while it was coming: lists lag, so only after a while.
-  for (auto it = coming_.begin(); it != coming_.end();) {
+  for (auto it = pending_.begin(); it != pending_.end();) {
     const bool due = now - it->second.since > settings_.list_lag * 3 + 10s;
-    it = due && names.count(it->first) == 0 ? coming_.erase(it) : std::next(it);
+    it = due && names.count(it->first) == 0 ? pending_.erase(it) : std::next(it);
   }
   for (auto it = gone_.begin(); it != gone_.end();) {
     it = now - it->second > settings_.list_lag * 3 + 60s ? gone_.erase(it) : std::next(it);
@@ -226,64 +125,94 @@
   return it != refused_until_.end() && runtime_.now() < it->second;
 }
 
-void Autoscaler::rent() {
+// Rented, or asked for and not yet answered.
+std::map<std::string, PendingMachine> Autoscaler::pending_and_requested() const {
   const auto now = runtime_.now();
-  for (auto it = coming_.begin(); it != coming_.end();) {
-    it = fleet_->machines().all().count(it->first) != 0 ? coming_.erase(it) : std::next(it);
-  }
-  auto coming = coming_;
-  for (const auto& [name, r] : asked_) {
+  auto out = pending_;
+  for (const auto& [name, r] : requests_) {
     for (std::size_t i = 0; i < r.count; ++i) {
-      coming[name + "/" + std::to_string(i)] = {{r.type, r.zone, r.spot}, now, now};
+      out[name + "/" + std::to_string(i)] = {{r.type, r.zone, r.spot}, now, now};
     }
   }
-  const auto sizes = fleet_->group_sizes();
-  const auto wants = wanted(
-      fleet_->demand(), catalog_, coming, [this](const Pool& p) { return refused(p); },
-      [&](const Pool& p) {
-        const auto n = sizes.find({p.zone, p.spot});
-        return fleet_->losses().rate({p.zone, p.spot}, n == sizes.end() ? 1 : n->second, now);
-      },
-      backlog());
-  std::map<std::string, std::map<std::string, std::size_t>> by_type;
-  if (!wants.empty()) {
-    for (const auto& [id, m] : fleet_->machines().all()) {
-      if (m.reported && !m.silent) ++by_type[m.type][m.zone];
-    }
-    for (const auto& [id, c] : coming) ++by_type[c.pool.type][c.pool.zone];
+  return out;
+}
+
+Market Autoscaler::market() const {
+  const auto now = runtime_.now();
+  return {catalog_, [this](const Pool& p) { return refused(p); },
+          [this, now, sizes = fleet_->group_sizes()](const Pool& p) {
+            const auto n = sizes.find({p.zone, p.spot});
+            return fleet_->losses().rate({p.zone, p.spot}, n == sizes.end() ? 1 : n->second, now);
+          },
+          backlog()};
+}
+
+Autoscaler::CountByZone Autoscaler::machines_by_zone(
+    const std::string& type, const std::map<std::string, PendingMachine>& pending) const {
+  CountByZone out;
+  for (const auto& [id, m] : fleet_->machines().all()) {
+    if (m.type == type && m.reported && !m.silent) ++out[m.zone];
+  }
+  for (const auto& [id, p] : pending) {
+    if (p.pool.type == type) ++out[p.pool.zone];
+  }
+  return out;
+}
+
+// Zones where most machines of the type run already come last: losses come by zone. One request is
+// under way for each pool, so that what a pool lacks is asked of another in the next round.
+std::optional<std::string> Autoscaler::zone_for(const DesiredMachines& desired,
+                                                const std::set<Pool>& under_way,
+                                                const CountByZone& there) const {
+  std::optional<std::string> best;
+  std::size_t fewest = 0;
+  for (const auto& zone : catalog_.find(desired.type)->zones) {
+    const Pool pool{desired.type, zone, desired.spot};
+    if (refused(pool) || under_way.count(pool) != 0) continue;
+    if (desired.job->zone && *desired.job->zone != zone) continue;
+    const auto it = there.find(zone);
+    const std::size_t count = it == there.end() ? 0 : it->second;
+    if (best && count >= fewest) continue;
+    best = zone;
+    fewest = count;
+  }
+  return best;
+}
+
+// A fleet is rented from empty in a few rounds: as many requests at once as the cloud takes.
+void Autoscaler::rent() {
+  for (auto it = pending_.begin(); it != pending_.end();) {
+    it = fleet_->machines().all().count(it->first) != 0 ? pending_.erase(it) : std::next(it);
   }
-  // A fleet is rented from empty in a few rounds: as many requests at once as the cloud takes, one
-  // under way for each pool, so that what a pool lacks is asked of another in the next round.
+  const auto pending = pending_and_requested();
   std::set<Pool> under_way;
-  for (const auto& [name, r] : asked_) under_way.insert({r.type, r.zone, r.spot});
-  for (const auto& w : wants) {
-    const auto* type = catalog_.find(w.type);
-    auto& there = by_type[w.type];
-    for (std::size_t left = w.count; left > 0;) {
+  for (const auto& [name, r] : requests_) under_way.insert({r.type, r.zone, r.spot});
+  std::map<std::string, CountByZone> by_type;
+  for (const auto& desired : desired_machines(fleet_->demand(), pending, market())) {
+    const auto [counts, added] = by_type.try_emplace(desired.type);
+    if (added) counts->second = machines_by_zone(desired.type, pending);
+    for (std::size_t left = desired.count; left > 0;) {
       if (!cloud_.may_call()) return;
-      // Zones where most machines of the type run already come last: losses come by zone.
-      const std::string* zone = nullptr;
-      for (const auto& z : type->zones) {
-        const Pool pool{w.type, z, w.spot};
-        if (refused(pool) || under_way.count(pool) != 0 || (w.job->zone && *w.job->zone != z)) {
-          continue;
-        }
-        if (zone == nullptr || there[z] < there[*zone]) zone = &z;
-      }
-      if (zone == nullptr) break;
-      // Names carry the token and a counter: never used again, not even by another node.
-      wire::RentalRequest request{
-          "r-" + std::to_string(election_.token()) + "-" + std::to_string(++requests_), w.type,
-          *zone, w.spot, std::min(left, wire::kMostRented)};
-      asked_[request.request] = request;
-      under_way.insert({w.type, *zone, w.spot});
-      there[*zone] += request.count;
-      left -= request.count;
-      send(request, kAskTries);
+      const auto zone = zone_for(desired, under_way, counts->second);
+      if (!zone) break;
+      const auto count = std::min(left, wire::kMostRented);
+      request({desired.type, *zone, desired.spot}, count);
+      under_way.insert({desired.type, *zone, desired.spot});
+      counts->second[*zone] += count;
+      left -= count;
     }
   }
 }
 
+// Names carry the token and a counter: never used again, not even by another node.
+void Autoscaler::request(const Pool& pool, std::size_t count) {
+  const wire::RentalRequest request{
+      "r-" + std::to_string(election_.token()) + "-" + std::to_string(++requests_made_), pool.type,
+      pool.zone, pool.spot, count};
+  requests_[request.request] = request;
+  send(request, kAskTries);
+}
+
 void Autoscaler::rent_soon() {
   if (rent_due_) return;
   rent_due_ = true;
@@ -310,9 +239,9 @@
                   });
                   return;
                 }
-                a->asked_.erase(request.request);
+                a->requests_.erase(request.request);
                 if (r.outcome == Outcome::Rented) {
-                  for (const auto& id : r.machines) a->coming_[id] = {pool, now, now};
+                  for (const auto& id : r.machines) a->pending_[id] = {pool, now, now};
                   log::info("rented {} of {} {} {} in {}", r.machines.size(), request.count,
                             request.spot ? "spot" : "ordinary", request.type, request.zone);
                   if (r.machines.size() < request.count)
@@ -386,58 +315,80 @@
   return out;
 }
 
-void Autoscaler::give_back() {
+void Autoscaler::return_failed_boots() {
   const auto now = runtime_.now();
-  const auto& all = fleet_->machines().all();
-  // Boots that never come.
-  for (const auto& [id, c] : coming_) {
-    const auto* type = catalog_.find(c.pool.type);
-    const Seconds boot = type != nullptr ? type->boot : Seconds(60);
-    if (all.count(id) != 0) continue;
+  for (const auto& [id, p] : pending_) {
+    if (fleet_->machines().all().count(id) != 0) continue;
+    const auto boot = to_duration(boot_time(p.pool.type) * kBootPatience) + kBootExtra;
     // A new leader first hears from the machines that are up.
-    if (now - c.since > to_duration(boot * kBootPatience) + kBootExtra &&
-        now - c.seen > settings_.lease + kBootExtra) {
-      if (to_return_.insert(id).second) log::info("machine {} has not come up; returned", id);
+    const bool failed = now - p.since > boot && now - p.first_seen > settings_.lease + kBootExtra;
+    if (failed && to_return_.insert(id).second) {
+      log::info("machine {} has not come up; returned", id);
     }
   }
+}
+
+Seconds Autoscaler::boot_time(const std::string& type) const {
+  const auto* t = catalog_.find(type);
+  return t != nullptr ? t->boot : kUnknownBoot;
+}
+
+// Answers do not reach it, and have not for long, or it has long been silent: of no use, whatever
+// it says of itself.
+bool Autoscaler::unusable_for_long(const fleet::Machine& m) const {
+  const auto now = runtime_.now();
+  if (m.deaf_since && now - *m.deaf_since > settings_.lease * kDeafLeases) return true;
+  return m.silent && now - m.last_answered > settings_.lease + kSilentPatience;
+}
+
+bool Autoscaler::idle_for_long(const fleet::Machine& m, TimePoint idle_since,
+                               const FreeRoom& room) const {
+  const Duration idle = runtime_.now() - idle_since;
+  const Duration keep = to_duration(boot_time(m.type) * kIdleBoots);
+  if (!fleet_->settled() || idle <= keep) return false;
+  if (idle <= keep * kAwaitedBoots && gang_waits_for(m)) return false;
+  return may_spare(m, room);
+}
+
+// An idle machine is drained first, and returned once a later turn still finds it without tasks:
+// exited tasks wait for their results to be durable.
+void Autoscaler::release(const fleet::Machine& m, TimePoint idle_since, FreeRoom& room) {
+  if (m.draining) {
+    if (m.occupants.empty()) to_return_.insert(m.id);
+    return;
+  }
+  if (!m.faulty && !idle_for_long(m, idle_since, room)) return;
+  fleet_->drain(m.id);
+  // No longer there for what may come.
+  const auto* type = catalog_.find(m.type);
+  if (type == nullptr) return;
+  if (type->gpus > 0) {
+    room.gpus -= type->gpus;
+  } else {
+    room.cpus -= type->cpus;
+  }
+}
+
+void Autoscaler::return_machines() {
+  return_failed_boots();
   std::map<std::string, TimePoint> idle;
   auto room = free_room();
-  for (const auto& [id, m] : all) {
-    // Answers do not reach it, and have not for long: of no use, whatever it says of itself.
-    if (m.deaf_since && now - *m.deaf_since > settings_.lease * kDeafLeases) {
-      to_return_.insert(id);
-      continue;
-    }
-    if (m.silent && now - m.last_answered > settings_.lease + kSilentPatience) {
+  for (const auto& [id, m] : fleet_->machines().all()) {
+    if (unusable_for_long(m)) {
       to_return_.insert(id);
       continue;
     }
-    if (!m.reported || m.silent) continue;
-    if (m.holds_tasks()) {
-      // Work came before it was returned; what is being emptied stays closed.
-      continue;
-    }
+    // What is being emptied stays closed, whatever came before.
+    if (!m.reported || m.silent || m.holds_tasks()) continue;
     const auto since = idle_since_.find(id);
-    idle[id] = since == idle_since_.end() ? now : since->second;
-    const auto* type = catalog_.find(m.type);
-    const Duration keep = to_duration((type != nullptr ? type->boot : Seconds(60)) * kIdleBoots);
-    // Drained first; returned once a later turn still finds it without tasks. Exited tasks wait
-    // for their results to be durable.
-    const bool awaited = now - idle[id] <= keep * kAwaitedBoots && gang_waits_for(m);
-    if (m.faulty || m.draining ||
-        (fleet_->settled() && now - idle[id] > keep && !awaited && may_spare(m, room))) {
-      if (m.draining && m.occupants.empty()) {
-        to_return_.insert(id);
-      } else if (!m.draining) {
-        fleet_->drain(id);
-        // No longer there for what may come.
-        if (type != nullptr && type->gpus > 0) room.gpus -= type->gpus;
-        if (type != nullptr && type->gpus <= 0) room.cpus -= type->cpus;
-      }
-    }
+    idle[id] = since == idle_since_.end() ? runtime_.now() : since->second;
+    release(m, idle[id], room);
   }
   idle_since_ = std::move(idle);
+  send_returns();
+}
 
+void Autoscaler::send_returns() {
   if (to_return_.empty() || returning_ || !cloud_.may_call()) return;
   std::vector<std::string> names;
   for (const auto& id : to_return_) {
@@ -453,7 +404,7 @@
     for (const auto& id : names) {
       log::info("returned {}", id);
       a->to_return_.erase(id);
-      a->coming_.erase(id);
+      a->pending_.erase(id);
       a->gone_[id] = a->runtime_.now();
       a->fleet_->machine_gone(id);
     }
--- a/src/autoscale/autoscale.hpp
+++ b/src/autoscale/autoscale.hpp
@@ -1,11 +1,13 @@
 #pragma once
-// Wanted machines against rented ones. Runs on the leader only.
+// Reconciles the desired machines with the rented ones. Runs on the leader only.
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
+#include "autoscale/desired_machines.hpp"
 #include "base/runtime.hpp"
 #include "base/settings.hpp"
 #include "cloud/catalog.hpp"
@@ -14,32 +16,6 @@
 
 namespace asterstair::autoscale {
 
-// Machines of one type, zone and kind.
-struct Pool {
-  std::string type, zone;
-  bool spot = false;
-  auto operator<=>(const Pool&) const = default;
-};
-
-struct Coming {
-  Pool pool;
-  TimePoint since{};  // the rental
-  TimePoint seen{};   // by this leader
-};
-
-// How many machines of which type the waiting work calls for, beyond those that are coming.
-struct Want {
-  std::string type;
-  std::size_t count = 0;
-  bool spot = false;  // may be
-  const JobSpec* job = nullptr;
-};
-std::vector<Want> wanted(const std::vector<fleet::Demand>& demand, const cloud::Catalog& catalog,
-                         const std::map<std::string, Coming>& coming,
-                         const std::function<bool(const Pool&)>& refused,
-                         const std::function<double(const Pool&)>& loss_rate,
-                         Seconds backlog = Seconds(0));
-
 class Autoscaler : public std::enable_shared_from_this<Autoscaler> {
  public:
   Autoscaler(Runtime& runtime, cloud::Cloud& cloud, const leader::Election& election,
@@ -52,18 +28,37 @@
   void tick();
   void list(const std::string& after, const std::shared_ptr<std::vector<ListedMachine>>& so_far);
   void listed(const std::vector<ListedMachine>& machines);
+  using CountByZone = std::map<std::string, std::size_t>;
+  // What is free for new work, on machines with accelerators and on those without.
+  struct FreeRoom {
+    double cpus = 0, gpus = 0;
+  };
+
   void rent();
   void rent_soon();
+  void request(const Pool& pool, std::size_t count);
   void send(const wire::RentalRequest& request, int tries);
-  void give_back();
   bool refused(const Pool& pool) const;
-  struct FreeRoom {
-    double cpus = 0, gpus = 0;
-  };
+  Market market() const;
+  std::map<std::string, PendingMachine> pending_and_requested() const;
+  CountByZone machines_by_zone(const std::string& type,
+                               const std::map<std::string, PendingMachine>& pending) const;
+  std::optional<std::string> zone_for(const DesiredMachines& desired,
+                                      const std::set<Pool>& under_way,
+                                      const CountByZone& there) const;
+
+  void return_machines();
+  void return_failed_boots();
+  void release(const fleet::Machine& machine, TimePoint idle_since, FreeRoom& room);
+  void send_returns();
+  bool unusable_for_long(const fleet::Machine& machine) const;
+  bool idle_for_long(const fleet::Machine& machine, TimePoint idle_since,
+                     const FreeRoom& room) const;
   bool gang_waits_for(const fleet::Machine& machine) const;
-  Seconds backlog() const;
-  FreeRoom free_room() const;
   bool may_spare(const fleet::Machine& machine, const FreeRoom& room) const;
+  FreeRoom free_room() const;
+  Seconds boot_time(const std::string& type) const;
+  Seconds backlog() const;
 
   Runtime& runtime_;
   cloud::Cloud& cloud_;
@@ -72,10 +67,10 @@
   const cloud::Catalog& catalog_;
   std::shared_ptr<fleet::Fleet> fleet_;
   bool stopped_ = false, listing_ = false, returning_ = false, rent_due_ = false;
-  std::uint64_t requests_ = 0;
+  std::uint64_t requests_made_ = 0;
   TimePoint last_list_{}, first_list_{}, last_consolidation_{};
-  std::map<std::string, Coming> coming_;              // rented, not yet reporting
-  std::map<std::string, wire::RentalRequest> asked_;  // unanswered
+  std::map<std::string, PendingMachine> pending_;
+  std::map<std::string, wire::RentalRequest> requests_;  // not yet answered
   std::map<Pool, TimePoint> refused_until_;
   std::map<std::string, TimePoint> idle_since_;
   std::map<std::string, TimePoint> gone_;  // returned: lists may show them a while longer
--- a/tests/autoscale_test.cpp
+++ b/tests/autoscale_test.cpp
@@ -1,17 +1,17 @@
-// Wanted machines against rented: the pure part.
-
-#include "autoscale/autoscale.hpp"
+// How many machines the waiting work calls for: the pure part of the autoscaler.
 
 #include <gtest/gtest.h>
 
+#include "autoscale/desired_machines.hpp"
+
 namespace {
 
 using namespace asterstair;
 using namespace asterstair::autoscale;
 
-class Wanting : public testing::Test {
+class Desiring : public testing::Test {
  protected:
-  Wanting() {
+  Desiring() {
     MachineType cpu{"cpu", 16, 0, 64, 50, 1, 1.6, 0.5, Seconds(10), {"a", "b"}};
     MachineType gpu{"gpu", 16, 2, 64, 50, 1, 6, 2, Seconds(10), {"a"}};
     catalog.set({cpu, gpu});
@@ -25,18 +25,18 @@
     job->spot = spot;
     return {job, tasks, Seconds(60), 100};
   }
-  std::vector<Want> want(const std::vector<fleet::Demand>& d,
-                         const std::map<std::string, Coming>& coming = {}) {
-    return wanted(
-        d, catalog, coming, [this](const Pool& p) { return refused.count(p) != 0; },
-        [this](const Pool& p) { return p.spot ? spot_loss : 1e-6; });
+  std::vector<DesiredMachines> want(const std::vector<fleet::Demand>& d,
+                                    const std::map<std::string, PendingMachine>& pending = {}) {
+    return desired_machines(d, pending,
+                            {catalog, [this](const Pool& p) { return refused.count(p) != 0; },
+                             [this](const Pool& p) { return p.spot ? spot_loss : 1e-6; }});
   }
   cloud::Catalog catalog;
   std::set<Pool> refused;
   double spot_loss = 1e-5;
 };
 
-TEST_F(Wanting, RentsTheCheapestThatServes) {
+TEST_F(Desiring, RentsTheCheapestThatServes) {
   const auto w = want({demand(16, 4, 0, true)});
   ASSERT_EQ(w.size(), 1U);
   EXPECT_EQ(w[0].type, "cpu");
@@ -46,7 +46,7 @@
   EXPECT_FALSE(want({demand(2, 4, 0, false)})[0].spot);
 }
 
-TEST_F(Wanting, WeighsLossesAgainstThePrice) {
+TEST_F(Desiring, WeighsLossesAgainstThePrice) {
   MachineType dear{"cpu", 16, 0, 64, 50, 1, 0.8, 0.5, Seconds(10), {"a"}};
   catalog.set({dear});
   EXPECT_TRUE(want({demand(4, 4, 0, true)})[0].spot);
@@ -54,13 +54,13 @@
   EXPECT_FALSE(want({demand(4, 4, 0, true)})[0].spot);
 }
 
-TEST_F(Wanting, CountsWhatIsComing) {
-  const std::map<std::string, Coming> coming{{"n-1", {{"cpu", "a", false}, {}, {}}}};
-  EXPECT_TRUE(want({demand(4, 4, 0, false)}, coming).empty());
-  EXPECT_EQ(want({demand(5, 4, 0, false)}, coming)[0].count, 1U);
+TEST_F(Desiring, CountsWhatIsPending) {
+  const std::map<std::string, PendingMachine> pending{{"n-1", {{"cpu", "a", false}, {}, {}}}};
+  EXPECT_TRUE(want({demand(4, 4, 0, false)}, pending).empty());
+  EXPECT_EQ(want({demand(5, 4, 0, false)}, pending)[0].count, 1U);
 }
 
-TEST_F(Wanting, TakesWhatIsUpFirstForUrgentWork) {
+TEST_F(Desiring, TakesWhatIsUpFirstForUrgentWork) {
   MachineType slow{"slow", 64, 8, 256, 50, 1, 6, 2, Seconds(60), {"a"}};
   catalog.set({slow});
   auto d = demand(8, 4, 1, false);
@@ -69,7 +69,7 @@
   EXPECT_EQ(want({d})[0].type, "gpu");  // dearer, and up after 10 s
 }
 
-TEST_F(Wanting, TurnsElsewhereWhenRefused) {
+TEST_F(Desiring, TurnsElsewhereWhenRefused) {
   refused = {{"cpu", "a", true}, {"cpu", "b", true}};
   const auto w = want({demand(4, 4, 0, true)});
   ASSERT_EQ(w.size(), 1U);
