State service client in modules: link, lists, read queue, write queue

No change of behaviour but one: reads and writes have a timer each to look at their queue again. Long functions became short ones; conditions of a joined transaction have a type of their own.

--- /dev/null
+++ b/src/store/read_queue.hpp
@@ -0,0 +1,53 @@
+#pragma once
+// Reads of single keys, within the request limit. Reads of the same key that have not been sent are
+// shared, and many of live jobs are answered by one list.
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "store/link.hpp"
+#include "store/results.hpp"
+
+namespace asterstair::store {
+
+class ReadQueue {
+ public:
+  explicit ReadQueue(Link& link) : link_(link) {}
+
+  // Given up, as Unavailable, after `patience`.
+  void get(const std::string& key, std::function<void(ReadResult)> done, Duration patience);
+
+ private:
+  struct Read {
+    std::string key;
+    TimePoint give_up;
+    int tries = 0;
+    std::vector<std::function<void(ReadResult)>> done;
+
+    void answer(const ReadResult& result) const;
+  };
+
+  void pump();
+  void wake(Duration delay);
+  Read take_first();
+  void send(Read read);
+  void answered(Read& read, const HttpResponse& response);
+  void index();
+  std::size_t waiting_for_live(TimePoint now) const;
+  std::vector<Read> take_waiting_for_live(TimePoint now);
+  void read_live_batched();
+
+  Link& link_;
+  std::deque<Read> reads_;
+  std::map<std::string, Read*> by_key_;  // deque entries keep their addresses at either end
+  std::size_t in_flight_ = 0;
+  std::optional<TimePoint> wake_at_;
+  bool batch_in_flight_ = false;
+  TimePoint next_batch_{};
+};
+
+}  // namespace asterstair::store
--- /dev/null
+++ b/src/store/write_queue.hpp
@@ -0,0 +1,56 @@
+#pragma once
+// Transactions, within the limits on requests and changes. Several that do not touch one another
+// travel as one (group commit).
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <vector>
+
+#include "store/link.hpp"
+#include "store/results.hpp"
+
+namespace asterstair::store {
+
+// Lower goes first.
+enum class Urgency { User, Final, Start, Lazy };
+
+class WriteQueue {
+ public:
+  WriteQueue(Link& link, Budget changes, std::size_t txn_ops)
+      : link_(link), changes_(changes), txn_ops_(txn_ops) {}
+
+  // Given up, as NotDone, if it cannot be sent for long.
+  void write(wire::Txn txn, Urgency urgency, std::function<void(WriteResult)> done);
+
+ private:
+  struct Write {
+    wire::Txn txn;
+    std::size_t size = 0;
+    TimePoint give_up;
+    bool alone = false;  // not to be joined with others
+    std::function<void(WriteResult)> done;
+  };
+  using Queue = std::deque<Write>;
+  using Batch = std::vector<Write>;
+  class Joined;
+
+  void pump();
+  bool pump(Queue& queue);
+  void wake(Duration delay);
+  std::size_t joinable(const Queue& queue) const;
+  void send(Queue& queue, Batch batch);
+  void answered(Queue& queue, Batch& batch, const HttpResponse& response);
+  void on_conflict(Queue& queue, Batch& batch, const HttpResponse& response);
+  static void put_back(Queue& queue, Batch& batch);
+
+  Link& link_;
+  Budget changes_;
+  std::size_t txn_ops_;
+  std::array<Queue, 4> queues_;  // by urgency
+  std::size_t in_flight_ = 0;
+  std::optional<TimePoint> wake_at_;
+};
+
+}  // namespace asterstair::store
