--- /dev/null
+++ b/src/fleet/commands.cpp
@@ -0,0 +1,106 @@
+// What the answer to a report orders: stops, clears, and starts of what is planned there.
+
+#include "fleet/fleet.hpp"
+#include "sched/score.hpp"
+
+namespace asterstair::fleet {
+namespace {
+
+// Of an answer, which must not be longer than PROTOCOL allows.
+constexpr std::size_t kMostCommands = 300;
+
+}  // namespace
+
+// Any answer may renew the worker's lease, whatever else the report is good for, so none leaves a
+// task running whose job has ended: through one leader after the other it could outlast cancel_s.
+// What an earlier leader started was live when this term's view was asked for, unless it had ended.
+std::vector<Command> Fleet::stops_for_ended(const WorkerReport& r) const {
+  std::vector<Command> out;
+  for (const auto& t : r.tasks) {
+    if (t.state != TaskState::Exited && jobs_.all().count(t.task.job) == 0) {
+      out.push_back({Command::Op::Stop, t.task, t.attempt});
+    }
+  }
+  return out;
+}
+
+// Gang members' losses add up; see DESIGN.
+std::optional<Seconds> Fleet::checkpoint_interval(const Job& job, const Machine& m) const {
+  if (job.spec->checkpoint.count() <= 0) return std::nullopt;
+  double rate = 0;
+  if (job.spec->gang()) {
+    for (const auto& [index, placed] : job.placed) {
+      if (const Machine* other = machines_.find(placed.machine)) rate += loss_rate(*other);
+    }
+  } else {
+    rate = loss_rate(m);
+  }
+  return sched::checkpoint_interval(job.spec->save, rate, sched::kLossBudget);
+}
+
+// Whether an exited task may be cleared: a done one only once that is durable.
+bool Fleet::may_forget(const Occupant& o) const {
+  if (o.forget) return true;
+  const Job* job = jobs_.find(o.task.job);
+  return job == nullptr || (o.cause == ExitCause::Done && job->durable[o.task.index]);
+}
+
+// Nobody may run whose job is not live; looked up here so that no path can miss it.
+std::optional<Command> Fleet::stop_for(Machine& m, Occupant& o) {
+  if (!o.stop && jobs_.find(o.task.job) == nullptr) stop_occupant(m, o, Seconds(0));
+  const bool is_saving = o.state == TaskState::Saving && o.grace.count() > 0;
+  if (!o.stop || is_saving) return std::nullopt;
+  return Command{Command::Op::Stop, o.task, o.attempt, o.grace};
+}
+
+// Plans that have come to nothing: their job has ended, or the machine may not be used any more.
+void Fleet::drop_void_plans(Machine& m) {
+  const bool machine_usable = usable(m);
+  Events gone;
+  for (auto it = m.occupants.begin(); it != m.occupants.end();) {
+    const Occupant& o = it->second;
+    const bool is_void = o.stop || !machine_usable || jobs_.find(o.task.job) == nullptr;
+    if (o.phase != Occupant::Phase::Planned || !is_void) {
+      ++it;
+      continue;
+    }
+    gone.push_back({TaskEvent::Kind::NotStarted, o});
+    it = m.occupants.erase(it);
+    m.changed = true;
+  }
+  handle(m, gone);
+}
+
+// Marks as ordered only what fits into the answer.
+void Fleet::order_starts(Machine& m, std::uint64_t seq, std::vector<Command>& out) {
+  if (!m.rostered || starts_held_ || !usable(m)) return;
+  for (auto& [key, o] : m.occupants) {
+    if (out.size() >= kMostCommands) return;
+    const Job* job = jobs_.find(o.task.job);
+    if (o.phase != Occupant::Phase::Planned || job == nullptr || !job->begun) continue;
+    Command start{Command::Op::Start, o.task, o.attempt};
+    start.interval = checkpoint_interval(*job, m);
+    o.phase = Occupant::Phase::Ordered;
+    o.ordered_seq = seq;
+    out.push_back(std::move(start));
+  }
+}
+
+std::vector<Command> Fleet::commands_for(Machine& m, std::uint64_t seq) {
+  std::vector<Command> out, forgets;
+  for (auto& [key, o] : m.occupants) {
+    if (o.phase == Occupant::Phase::Present) {
+      if (auto stop = stop_for(m, o)) out.push_back(std::move(*stop));
+    } else if (o.phase == Occupant::Phase::Exited && may_forget(o)) {
+      o.forget = true;
+      forgets.push_back({Command::Op::Forget, o.task, o.attempt});
+    }
+  }
+  out.insert(out.end(), forgets.begin(), forgets.end());
+  if (out.size() > kMostCommands) out.resize(kMostCommands);
+  drop_void_plans(m);
+  order_starts(m, seq, out);
+  return out;
+}
+
+}  // namespace asterstair::fleet
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -132,9 +132,30 @@
   void plan_soon();
   // Its refs are places in planned_machines_ and planned_jobs_, which hold until the next one.
   sched::Snapshot snapshot();
+  using InZone = std::unordered_map<std::string, sched::TasksByZone>;  // by job
+  void add_machines(sched::Snapshot& snapshot, InZone& in_zone, sched::Resources& unknown);
+  void add_teams(sched::Snapshot& snapshot, const sched::Resources& unknown);
+  void expect_accelerator_work(sched::Snapshot& snapshot) const;
+  std::vector<Job*> jobs_by_arrival();
+  void note_idle(Job& job) const;
+  bool may_be_placed(const Job& job) const;
+  sched::PlanJob plan_job(const Job& job, bool guaranteed) const;
   void refresh(Machine& machine);
+  std::vector<std::set<std::size_t>> machines_to_avoid() const;
+  std::uint64_t next_attempt();
+  void carry_out(const sched::Placement& placement, std::map<std::string, std::uint64_t>& gangs);
+  void update_demand(const sched::Snapshot& snapshot, const sched::Plan& plan);
+  using VictimRef = std::pair<Machine*, Occupant*>;
+  std::vector<sched::PlanVictim> victims(const sched::Snapshot& snapshot, const sched::Plan& plan,
+                                         std::vector<VictimRef>& refs) const;
+  Seconds work_lost_by_stop(const Occupant& occupant) const;
   void preempt(sched::Snapshot& snapshot, sched::Plan& plan);
   std::vector<Command> commands_for(Machine& machine, std::uint64_t seq);
+  std::optional<Command> stop_for(Machine& machine, Occupant& occupant);
+  bool may_forget(const Occupant& occupant) const;
+  void drop_void_plans(Machine& machine);
+  void order_starts(Machine& machine, std::uint64_t seq, std::vector<Command>& out);
+  std::optional<Seconds> checkpoint_interval(const Job& job, const Machine& machine) const;
   bool can_move(const Machine& machine) const;
   double slack_of(const Job& job, Seconds remaining) const;
   Seconds remaining_of(const Job& job) const;
--- a/src/fleet/jobs.cpp
+++ b/src/fleet/jobs.cpp
@@ -9,6 +9,11 @@
   return it == all_.end() ? nullptr : &it->second;
 }
 
+const Job* Jobs::find(const std::string& id) const {
+  const auto it = all_.find(id);
+  return it == all_.end() ? nullptr : &it->second;
+}
+
 Job& Jobs::add(JobSpec spec, std::uint64_t version, WallTime accepted) {
   const auto [it, added] = all_.try_emplace(spec.id);
   Job& job = it->second;
--- a/src/fleet/jobs.hpp
+++ b/src/fleet/jobs.hpp
@@ -47,6 +47,7 @@
 class Jobs {
  public:
   Job* find(const std::string& id);
+  const Job* find(const std::string& id) const;
   // Adds or updates a live job. Returns it.
   Job& add(JobSpec spec, std::uint64_t version, WallTime accepted);
   void erase(const std::string& id) { all_.erase(id); }
--- a/src/fleet/machines.cpp
+++ b/src/fleet/machines.cpp
@@ -62,6 +62,11 @@
   return it == all_.end() ? nullptr : &it->second;
 }
 
+const Machine* Machines::find(const std::string& id) const {
+  const auto it = all_.find(id);
+  return it == all_.end() ? nullptr : &it->second;
+}
+
 void Machines::clear(Machine& m, std::vector<TaskEvent>& events) {
   for (auto& [key, o] : m.occupants) {
     if (o.phase == Occupant::Phase::Exited) continue;
@@ -73,15 +78,9 @@
   m.changed = true;
 }
 
-Machines::Order Machines::apply(const WorkerReport& r, TimePoint now, double cache_gb,
-                                std::vector<TaskEvent>& events, Source source) {
-  Machine& m = all_[r.machine];
-  // Once a lease has run out here, what its session reported comes late, however new it looks:
-  // the worker has killed and forgotten all of it.
-  if (r.session < m.first_session) return Order::Late;
-  if (m.reported && std::pair(r.session, r.seq) <= std::pair(m.session, m.seq)) return Order::Late;
-  // A new session begins after the worker has killed and forgotten everything.
-  if (r.session > m.session) clear(m, events);
+namespace {
+
+void take_over_state(Machine& m, const WorkerReport& r, TimePoint now) {
   if (!m.reported) m.first_report = now;
   m.id = r.machine;
   m.address = r.address;
@@ -93,61 +92,64 @@
   m.reported = true;
   m.silent = false;
   m.last_report = now;
-  if (r.notice) {
-    m.goes_at = now + to_duration(*r.notice);
-  } else {
-    m.goes_at.reset();
-  }
-
+  m.goes_at.reset();
+  if (r.notice) m.goes_at = now + to_duration(*r.notice);
   m.changed = m.changed || !r.tasks.empty() || !m.occupants.empty();
-  for (const auto& t : r.tasks) {
-    const auto [it, adopted] = m.occupants.try_emplace({t.attempt, t.task});
-    Occupant& o = it->second;
-    o.seen_seq = r.seq;
-    const auto before = o.phase;
-    if (adopted) {
-      o.task = t.task;
-      o.attempt = t.attempt;
-      o.planned_at = now;
-    }
-    if (before == Occupant::Phase::Exited) continue;
-    const bool was_running = o.phase == Occupant::Phase::Present && o.state == TaskState::Running;
-    o.state = t.state;
-    if (t.state == TaskState::Running && !was_running && o.running_since == TimePoint{}) {
-      o.running_since = now;
-    }
-    if (o.job && t.state != TaskState::Fetching &&
-        (t.state != TaskState::Exited || t.cause == ExitCause::Done)) {
-      m.use_image(*o.job, cache_gb);
-    }
-    if (t.state == TaskState::Exited) {
-      o.phase = Occupant::Phase::Exited;
-      o.cause = t.cause;
-      o.saved = t.saved;
-      events.push_back({TaskEvent::Kind::Exited, o});
-    } else {
-      o.phase = Occupant::Phase::Present;
-      if (adopted) {
-        events.push_back({TaskEvent::Kind::Adopted, o});
-      } else if (before != Occupant::Phase::Present) {
-        events.push_back({TaskEvent::Kind::Started, o});
-      }
-      if (t.state == TaskState::Running && !was_running) {
-        events.push_back({TaskEvent::Kind::Running, o});
-      }
-    }
+}
+
+// Whether the report shows that the task's image is there.
+bool shows_image(const TaskReport& t) {
+  if (t.state == TaskState::Exited) return t.cause == ExitCause::Done;
+  return t.state != TaskState::Fetching;
+}
+
+void take_over_task(Machine& m, const TaskReport& t, TimePoint now, double cache_gb,
+                    std::vector<TaskEvent>& events) {
+  const auto [it, adopted] = m.occupants.try_emplace({t.attempt, t.task});
+  Occupant& o = it->second;
+  o.seen_seq = m.seq;
+  if (adopted) {
+    o.task = t.task;
+    o.attempt = t.attempt;
+    o.planned_at = now;
+  }
+  const auto before = o.phase;
+  if (before == Occupant::Phase::Exited) return;
+  const bool was_running = before == Occupant::Phase::Present && o.state == TaskState::Running;
+  const bool begins_to_run = t.state == TaskState::Running && !was_running;
+  o.state = t.state;
+  if (begins_to_run && o.running_since == TimePoint{}) o.running_since = now;
+  if (o.job && shows_image(t)) m.use_image(*o.job, cache_gb);
+  if (t.state == TaskState::Exited) {
+    o.phase = Occupant::Phase::Exited;
+    o.cause = t.cause;
+    o.saved = t.saved;
+    events.push_back({TaskEvent::Kind::Exited, o});
+    return;
   }
+  o.phase = Occupant::Phase::Present;
+  if (adopted) {
+    events.push_back({TaskEvent::Kind::Adopted, o});
+  } else if (before != Occupant::Phase::Present) {
+    events.push_back({TaskEvent::Kind::Started, o});
+  }
+  if (begins_to_run) events.push_back({TaskEvent::Kind::Running, o});
+}
+
+// What the report does not name is gone, or was never started. An order sent in the answer to an
+// earlier report is settled by the next one: the worker drops the answer to a report that it has
+// given up. An exited task was cleared, as told.
+void drop_unreported(Machine& m, Machines::Source source, std::vector<TaskEvent>& events) {
   for (auto it = m.occupants.begin(); it != m.occupants.end();) {
     const Occupant& o = it->second;
     // An answer to a report may be under way while a direct command is answered: only the next
     // report can settle what it ordered.
-    const bool open = o.phase == Occupant::Phase::Ordered && source == Source::DirectAnswer;
-    if (o.seen_seq == r.seq || open || o.phase == Occupant::Phase::Planned) {
+    const bool open =
+        o.phase == Occupant::Phase::Ordered && source == Machines::Source::DirectAnswer;
+    if (o.seen_seq == m.seq || open || o.phase == Occupant::Phase::Planned) {
       ++it;
       continue;
     }
-    // An order sent in the answer to an earlier report is settled by this one: the worker drops
-    // the answer to a report that it has given up. An exited task was cleared, as told.
     if (o.phase == Occupant::Phase::Ordered) {
       events.push_back({TaskEvent::Kind::NotStarted, o});
     } else if (o.phase == Occupant::Phase::Present) {
@@ -155,6 +157,22 @@
     }
     it = m.occupants.erase(it);
   }
+}
+
+}  // namespace
+
+Machines::Order Machines::apply(const WorkerReport& r, TimePoint now, double cache_gb,
+                                std::vector<TaskEvent>& events, Source source) {
+  Machine& m = all_[r.machine];
+  // Once a lease has run out here, what its session reported comes late, however new it looks:
+  // the worker has killed and forgotten all of it.
+  if (r.session < m.first_session) return Order::Late;
+  if (m.reported && std::pair(r.session, r.seq) <= std::pair(m.session, m.seq)) return Order::Late;
+  // A new session begins after the worker has killed and forgotten everything.
+  if (r.session > m.session) clear(m, events);
+  take_over_state(m, r, now);
+  for (const auto& t : r.tasks) take_over_task(m, t, now, cache_gb, events);
+  drop_unreported(m, source, events);
   return Order::New;
 }
 
--- a/src/fleet/machines.hpp
+++ b/src/fleet/machines.hpp
@@ -102,6 +102,7 @@
  public:
   Machine& at(const std::string& id) { return all_[id]; }
   Machine* find(const std::string& id);
+  const Machine* find(const std::string& id) const;
   std::map<std::string, Machine>& all() { return all_; }
   const std::map<std::string, Machine>& all() const { return all_; }
 
--- a/src/fleet/reports.cpp
+++ b/src/fleet/reports.cpp
@@ -4,7 +4,6 @@
 
 #include "base/log.hpp"
 #include "fleet/fleet.hpp"
-#include "sched/score.hpp"
 #include "store/records.hpp"
 #include "wire/user.hpp"
 #include "wire/worker.hpp"
@@ -105,19 +104,6 @@
          runtime_.now() - *m.first_answered > settings_.lease * kTokenPatience / kTokenPatienceOf;
 }
 
-// Any answer may renew the worker's lease, whatever else the report is good for, so none leaves a
-// task running whose job has ended: through one leader after the other it could outlast cancel_s.
-// What an earlier leader started was live when this term's view was asked for, unless it had ended.
-std::vector<Command> Fleet::stops_for_ended(const WorkerReport& r) const {
-  std::vector<Command> out;
-  for (const auto& t : r.tasks) {
-    if (t.state != TaskState::Exited && jobs_.all().count(t.task.job) == 0) {
-      out.push_back({Command::Op::Stop, t.task, t.attempt});
-    }
-  }
-  return out;
-}
-
 // The answer to a direct command shows at once what the next report would show: room that has
 // come free, above all.
 void Fleet::direct_answer(const WorkerReport& r) {
@@ -320,74 +306,6 @@
   if (o.phase == Occupant::Phase::Exited) o.forget = true;
 }
 
-std::vector<Command> Fleet::commands_for(Machine& m, std::uint64_t seq) {
-  std::vector<Command> stops, forgets, starts;
-  const bool startable = m.rostered && usable(m) && !starts_held_;
-  Events gone;
-  for (auto it = m.occupants.begin(); it != m.occupants.end();) {
-    Occupant& o = it->second;
-    switch (o.phase) {
-      case Occupant::Phase::Exited:
-        if (!o.forget) {
-          const Job* job = jobs_.find(o.task.job);
-          // A done task is cleared once that is durable.
-          o.forget = job == nullptr || (o.cause == ExitCause::Done && job->durable[o.task.index]);
-        }
-        if (o.forget) forgets.push_back({Command::Op::Forget, o.task, o.attempt});
-        break;
-      case Occupant::Phase::Present:
-        // Nobody may run whose job is not live; looked up here so that no path can miss it.
-        if (!o.stop && jobs_.find(o.task.job) == nullptr) stop_occupant(m, o, Seconds(0));
-        if (o.stop && !(o.state == TaskState::Saving && o.grace.count() > 0)) {
-          stops.push_back({Command::Op::Stop, o.task, o.attempt, o.grace});
-        }
-        break;
-      case Occupant::Phase::Planned:
-      case Occupant::Phase::Ordered: {
-        const Job* job = jobs_.find(o.task.job);
-        if (o.phase == Occupant::Phase::Planned && (o.stop || job == nullptr || !usable(m))) {
-          gone.push_back({TaskEvent::Kind::NotStarted, o});
-          it = m.occupants.erase(it);
-          m.changed = true;
-          continue;
-        }
-        if (o.phase == Occupant::Phase::Planned && startable && job->begun) {
-          Command start{Command::Op::Start, o.task, o.attempt};
-          if (job->spec->checkpoint.count() > 0) {
-            double rate = 0;
-            if (job->spec->gang()) {
-              for (const auto& [index, placed] : job->placed) {
-                if (const Machine* other = machines_.find(placed.machine))
-                  rate += loss_rate(*other);
-              }
-            } else {
-              rate = loss_rate(m);
-            }
-            start.interval = sched::checkpoint_interval(job->spec->save, rate, sched::kLossBudget);
-          }
-          starts.push_back(std::move(start));
-        }
-        break;
-      }
-    }
-    ++it;
-  }
-  handle(m, gone);
-  std::vector<Command> out = std::move(stops);
-  out.insert(out.end(), forgets.begin(), forgets.end());
-  // Only what fits into the answer counts as ordered.
-  constexpr std::size_t kMostCommands = 300;
-  if (out.size() > kMostCommands) out.resize(kMostCommands);
-  for (auto& c : starts) {
-    if (out.size() >= kMostCommands) break;
-    Occupant& o = m.occupants.at({c.attempt, c.task});
-    o.phase = Occupant::Phase::Ordered;
-    o.ordered_seq = seq;
-    out.push_back(std::move(c));
-  }
-  return out;
-}
-
 void Fleet::expire_leases() {
   const auto now = runtime_.now();
   const auto out =
@@ -409,18 +327,7 @@
 // Plans for machines that have fallen silent, or were given up, go to others.
 void Fleet::release_plans() {
   for (auto& [id, m] : machines_.all()) {
-    if (m.occupants.empty() || usable(m)) continue;
-    Events gone;
-    for (auto it = m.occupants.begin(); it != m.occupants.end();) {
-      if (it->second.phase == Occupant::Phase::Planned) {
-        gone.push_back({TaskEvent::Kind::NotStarted, it->second});
-        it = m.occupants.erase(it);
-        m.changed = true;
-      } else {
-        ++it;
-      }
-    }
-    handle(m, gone);
+    if (!m.occupants.empty() && !usable(m)) drop_void_plans(m);
   }
 }
 
