--- a/src/fleet/durable.cpp
+++ b/src/fleet/durable.cpp
@@ -6,6 +6,11 @@
 #include "store/records.hpp"
 
 namespace asterstair::fleet {
+namespace {
+
+constexpr std::size_t kRoomPerName = 40;  // bytes in a chunk of the roster
+
+}  // namespace
 
 // Writes keys that only the leader changes: conditional on leadership and on their versions. The
 // callback runs only while this term lasts.
@@ -24,78 +29,93 @@
         if (r.outcome == store::WriteOutcome::Committed) {
           for (const auto& key : keys) f->versions_[key] = r.revision;
           done(true);
-          return;
-        }
-        if (r.outcome == store::WriteOutcome::NotDone) {
+        } else if (r.outcome == store::WriteOutcome::NotDone) {
           done(false);
-          return;
-        }
-        // An earlier unanswered write was, or may yet be, carried out: look which
-        // versions stand, then try again.
-        auto left = std::make_shared<std::size_t>(keys.size());
-        for (const auto& key : keys) {
-          f->store_.get(key, [self, key, left, done](const store::ReadResult& g) {
-            const auto h = self.lock();
-            if (!h || !h->alive()) return;
-            if (g.outcome == store::ReadOutcome::Found) h->versions_[key] = g.item.version;
-            if (g.outcome == store::ReadOutcome::Missing) h->versions_[key] = 0;
-            if (--*left == 0) done(false);
-          });
+        } else {
+          // An earlier unanswered write was, or may yet be, carried out.
+          f->read_versions(keys, [done] { done(false); });
         }
       });
 }
 
+// Looks which versions of the leader's own keys stand, so that a write may be tried again.
+void Fleet::read_versions(const std::vector<std::string>& keys, const std::function<void()>& done) {
+  auto left = std::make_shared<std::size_t>(keys.size());
+  for (const auto& key : keys) {
+    store_.get(key, [self = weak_from_this(), key, left, done](const store::ReadResult& r) {
+      const auto f = self.lock();
+      if (!f || !f->alive()) return;
+      if (r.outcome == store::ReadOutcome::Found) f->versions_[key] = r.item.version;
+      if (r.outcome == store::ReadOutcome::Missing) f->versions_[key] = 0;
+      if (--*left == 0) done();
+    });
+  }
+}
+
+// Of the machines that a chunk of the roster names, those that are there still.
+std::set<std::string> Fleet::present_in_roster(std::size_t chunk) const {
+  std::set<std::string> out;
+  for (const auto& id : roster_[chunk]) {
+    const Machine* m = machines_.find(id);
+    if (m != nullptr && !m->silent) out.insert(id);
+  }
+  return out;
+}
+
+// The first chunk that names machines that have gone, or has room for new ones; a new one if need
+// be.
+std::optional<std::size_t> Fleet::roster_chunk_to_write(std::size_t names_per_chunk) {
+  for (std::size_t chunk = 0; chunk < roster_.size(); ++chunk) {
+    const auto present = present_in_roster(chunk).size();
+    if (present < roster_[chunk].size()) return chunk;
+    if (!roster_waiting_.empty() && present < names_per_chunk) return chunk;
+  }
+  if (roster_waiting_.empty()) return std::nullopt;
+  roster_.emplace_back();
+  return roster_.size() - 1;
+}
+
 void Fleet::write_roster() {
   if (roster_writing_) return;
   for (auto it = roster_waiting_.begin(); it != roster_waiting_.end();) {
     const Machine* m = machines_.find(*it);
     it = m == nullptr || m->rostered ? roster_waiting_.erase(it) : std::next(it);
   }
-  constexpr std::size_t kRoomPerName = 40;
-  const std::size_t per_chunk = settings_.value_bytes / kRoomPerName;
-  // The first chunk that names machines that have gone, or has room for new ones.
-  std::size_t chunk = 0;
-  std::set<std::string> names;
-  for (;; ++chunk) {
-    if (chunk >= roster_.size()) {
-      if (roster_waiting_.empty()) return;
-      roster_.emplace_back();
-    }
-    names.clear();
-    for (const auto& id : roster_[chunk]) {
-      const Machine* m = machines_.find(id);
-      if (m != nullptr && !m->silent) names.insert(id);
-    }
-    if (names.size() < roster_[chunk].size()) break;
-    if (!roster_waiting_.empty() && names.size() < per_chunk) break;
-  }
+  const std::size_t names_per_chunk = settings_.value_bytes / kRoomPerName;
+  const auto chunk = roster_chunk_to_write(names_per_chunk);
+  if (!chunk) return;
+  auto names = present_in_roster(*chunk);
   // Left out before the write is sent: one that comes back gets no work until it is entered anew.
-  for (const auto& id : roster_[chunk]) {
+  for (const auto& id : roster_[*chunk]) {
     if (names.count(id) != 0) continue;
     if (Machine* m = machines_.find(id)) m->rostered = false;
   }
   std::vector<std::string> added;
   for (const auto& id : roster_waiting_) {
-    if (names.size() >= per_chunk) break;
+    if (names.size() >= names_per_chunk) break;
     names.insert(id);
     added.push_back(id);
   }
   wire::Txn txn;
-  txn.changes = {{store::roster_key(chunk),
+  txn.changes = {{store::roster_key(*chunk),
                   store::encode_roster(std::vector<std::string>(names.begin(), names.end()))}};
   roster_writing_ = true;
   write_own(std::move(txn), store::Urgency::Start,
-            [this, chunk, names = std::move(names), added = std::move(added)](bool committed) {
+            [this, chunk = *chunk, names = std::move(names), added = std::move(added)](bool done) {
               roster_writing_ = false;
-              if (!committed) return;
-              roster_[chunk] = names;
-              for (const auto& id : added) {
-                roster_waiting_.erase(id);
-                if (Machine* m = machines_.find(id)) m->rostered = true;
-              }
+              if (done) roster_written(chunk, names, added);
             });
 }
 
+void Fleet::roster_written(std::size_t chunk, const std::set<std::string>& names,
+                           const std::vector<std::string>& added) {
+  roster_[chunk] = names;
+  for (const auto& id : added) {
+    roster_waiting_.erase(id);
+    if (Machine* m = machines_.find(id)) m->rostered = true;
+  }
+}
+
 void Fleet::begin_jobs() {
   for (auto& [id, job] : jobs_.all()) {
     if (!job.begun && !job.beginning) begin(job);
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -122,10 +122,17 @@
   void stop_occupant(Machine& machine, Occupant& occupant, Seconds grace);
   void release_plans();
   void write_own(wire::Txn txn, store::Urgency urgency, std::function<void(bool)> done);
+  void read_versions(const std::vector<std::string>& keys, const std::function<void()>& done);
+  std::set<std::string> present_in_roster(std::size_t chunk) const;
+  std::optional<std::size_t> roster_chunk_to_write(std::size_t names_per_chunk);
+  void roster_written(std::size_t chunk, const std::set<std::string>& names,
+                      const std::vector<std::string>& added);
   void check_gangs();
   void check_notice(Machine& machine);
-  void send_direct(const std::vector<std::pair<std::string, Command>>& stops,
-                   bool read_answers = false);
+  using DirectStops = std::vector<std::pair<std::string, Command>>;  // with their machines
+  std::optional<Seconds> grace_on_notice(const Machine& machine, const Occupant& occupant) const;
+  void stop_gang(const Job& job, Seconds grace, DirectStops& direct);
+  void send_direct(const DirectStops& stops, bool read_answers = false);
   void pump_direct();
   std::vector<Command> stops_for_ended(const WorkerReport& report) const;
   void plan();
@@ -157,6 +164,7 @@
   void order_starts(Machine& machine, std::uint64_t seq, std::vector<Command>& out);
   std::optional<Seconds> checkpoint_interval(const Job& job, const Machine& machine) const;
   bool can_move(const Machine& machine) const;
+  void empty(Machine& machine);
   double slack_of(const Job& job, Seconds remaining) const;
   Seconds remaining_of(const Job& job) const;
   Seconds age_of(const Job& job) const;
--- a/src/fleet/gangs.cpp
+++ b/src/fleet/gangs.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr double kEndsInTime = 0.7;  // of a notice: estimates are rough
-constexpr Seconds kRestartTime{1};   // of a task that finds its image
+constexpr Seconds kNoNotice{3600};
+constexpr Seconds kRestartTime{1};  // of a task that finds its image
 constexpr auto kDirectTimeout = 2s;
 // Direct commands at a time, and waiting: a job may be on hundreds of machines, some of them out of
 // hearing, and the connections are the state service's too.
@@ -19,7 +20,7 @@
 
 void Fleet::check_gangs() {
   // A gang that lost a task stops whole (DESIGN). The others must be told within gang_peer_s.
-  std::vector<std::pair<std::string, Command>> direct;
+  DirectStops direct;
   for (auto& [id, job] : jobs_.all()) {
     if (!job.spec->gang() || job.placed.empty() || job.waiting.empty()) continue;
     for (const auto& [index, placed] : job.placed) {
@@ -36,8 +37,7 @@
   send_direct(direct);
 }
 
-void Fleet::send_direct(const std::vector<std::pair<std::string, Command>>& stops,
-                        bool read_answers) {
+void Fleet::send_direct(const DirectStops& stops, bool read_answers) {
   if (stops.empty() || !election_.entitled()) return;
   std::map<std::string, std::vector<Command>> by_machine;
   for (const auto& [machine, c] : stops) by_machine[machine].push_back(c);
@@ -77,42 +77,46 @@
   }
 }
 
+// How long a task may take to save if it is to be stopped on the notice: none if it may go on.
+std::optional<Seconds> Fleet::grace_on_notice(const Machine& m, const Occupant& o) const {
+  const auto now = runtime_.now();
+  const Seconds left = m.goes_at ? Seconds(*m.goes_at - now) : kNoNotice;
+  const auto& job = *o.job;
+  if (job.checkpoint.count() > 0 && sched::final_save_fits(job.save, kRestartTime, left)) {
+    return job.save + Seconds(settings_.gang_peer);
+  }
+  // What cannot be saved and will not end in time is lost anyway; elsewhere at once is better than
+  // after the machine's lease has run out.
+  const Seconds ran = o.running_since == TimePoint{} ? Seconds(0) : Seconds(now - o.running_since);
+  if (!m.goes_at || job.estimate - ran <= left * kEndsInTime) return std::nullopt;
+  return Seconds(0);
+}
+
+// The whole gang is told at once, wherever its tasks are.
+void Fleet::stop_gang(const Job& job, Seconds grace, DirectStops& direct) {
+  for (const auto& [index, placed] : job.placed) {
+    Machine* m = machines_.find(placed.machine);
+    Occupant* o = m == nullptr ? nullptr : m->occupant({job.spec->id, index}, placed.attempt);
+    if (o == nullptr || o->stop) continue;
+    stop_occupant(*m, *o, grace);
+    if (job.spec->tasks > 1) {
+      direct.emplace_back(m->id, Command{Command::Op::Stop, o->task, placed.attempt, grace});
+    }
+  }
+}
+
 void Fleet::check_notice(Machine& m) {
   // A drained machine's tasks may end by themselves.
   if (!m.goes_at && !m.faulty) return;
-  const auto now = runtime_.now();
-  std::vector<std::pair<std::string, Command>> direct;
-  const Seconds left = m.goes_at ? Seconds(*m.goes_at - now) : Seconds(3600);
+  DirectStops direct;
   for (auto& [key, o] : m.occupants) {
     if (o.phase != Occupant::Phase::Present || o.stop || !o.job) continue;
-    const auto& job = *o.job;
-    const bool saves =
-        job.checkpoint.count() > 0 && sched::final_save_fits(job.save, kRestartTime, left);
-    if (!saves) {
-      // What cannot be saved and will not end in time is lost anyway; elsewhere at once is
-      // better than after the machine's lease has run out.
-      const Seconds ran =
-          o.running_since == TimePoint{} ? Seconds(0) : Seconds(now - o.running_since);
-      if (!m.goes_at || job.estimate - ran <= left * kEndsInTime) continue;
-    }
-    const Seconds grace = saves ? job.save + Seconds(settings_.gang_peer) : Seconds(0);
-    if (!job.gang()) {
-      stop_occupant(m, o, grace);
-      continue;
-    }
-    Job* live = jobs_.find(o.task.job);
-    if (live == nullptr) continue;
-    // The whole gang is told at once, wherever its tasks are.
-    for (const auto& [index, placed] : live->placed) {
-      Machine* other = machines_.find(placed.machine);
-      Occupant* peer =
-          other == nullptr ? nullptr : other->occupant({o.task.job, index}, placed.attempt);
-      if (peer == nullptr || peer->stop) continue;
-      stop_occupant(*other, *peer, grace);
-      if (job.tasks > 1) {
-        direct.emplace_back(placed.machine,
-                            Command{Command::Op::Stop, peer->task, placed.attempt, grace});
-      }
+    const auto grace = grace_on_notice(m, o);
+    if (!grace) continue;
+    if (!o.job->gang()) {
+      stop_occupant(m, o, *grace);
+    } else if (const Job* job = jobs_.find(o.task.job)) {
+      stop_gang(*job, *grace, direct);
     }
   }
   send_direct(direct);
--- a/src/fleet/loading.cpp
+++ b/src/fleet/loading.cpp
@@ -182,7 +182,7 @@
   // Whatever of it is left serves nobody: stopped at once, and cleared when it has ended. Told
   // directly too: an image may arrive before the next report, a machine may be out of hearing or
   // hang, and then carries the command out as it goes on.
-  std::vector<std::pair<std::string, Command>> direct;
+  DirectStops direct;
   for (const auto& [index, placed] : job->placed) {
     Machine* m = machines_.find(placed.machine);
     if (m == nullptr) continue;
--- a/src/fleet/moving.cpp
+++ b/src/fleet/moving.cpp
@@ -52,60 +52,95 @@
   return any;
 }
 
+namespace {
+
+// What stands idle on a machine costs so much an hour.
+double idle_cost(const sched::PlanMachine& m) {
+  const double share = m.type->gpus > 0 ? m.free.gpus / m.type->gpus : m.free.cpus / m.type->cpus;
+  return m.price() * share;
+}
+
+std::vector<std::size_t> costliest_idle_first(const std::vector<sched::PlanMachine>& machines) {
+  std::vector<std::size_t> out(machines.size());
+  std::iota(out.begin(), out.end(), 0);
+  std::sort(out.begin(), out.end(), [&](std::size_t x, std::size_t y) {
+    return std::pair(idle_cost(machines[x]), x) > std::pair(idle_cost(machines[y]), y);
+  });
+  return out;
+}
+
+// Where the tasks of machines that are emptied would go: on others in use, no dearer.
+class Consolidation {
+ public:
+  explicit Consolidation(std::vector<sched::PlanMachine>& machines)
+      : machines_(machines), leaving_(machines.size(), false) {}
+
+  // Takes up room for the jobs' tasks, all or none. The machine takes up no more then.
+  bool move_all(std::size_t from, const std::vector<const JobSpec*>& tasks) {
+    std::vector<std::size_t> moved_to;
+    for (const auto* job : tasks) {
+      const auto to = fullest_with_room(from, *job);
+      if (!to) {
+        for (std::size_t i = 0; i < moved_to.size(); ++i) {
+          machines_[moved_to[i]].free.add(*tasks[i]);
+        }
+        return false;
+      }
+      machines_[*to].free.add(*job, -1);
+      moved_to.push_back(*to);
+    }
+    leaving_[from] = true;
+    return true;
+  }
+
+ private:
+  std::optional<std::size_t> fullest_with_room(std::size_t from, const JobSpec& job) const {
+    if (job.one_zone || job.spread) return std::nullopt;
+    std::optional<std::size_t> best;
+    for (std::size_t to = 0; to < machines_.size(); ++to) {
+      const auto& m = machines_[to];
+      if (to == from || leaving_[to] || m.empty() || m.price() > machines_[from].price()) continue;
+      if (!sched::allowed_on(job, m) || !sched::fits(job, m.free)) continue;
+      if (!best || idle_cost(m) < idle_cost(machines_[*best])) best = to;
+    }
+    return best;
+  }
+
+  std::vector<sched::PlanMachine>& machines_;
+  std::vector<bool> leaving_;
+};
+
+}  // namespace
+
+// Its tasks that save are stopped, to go on elsewhere; the others end soon.
+void Fleet::empty(Machine& m) {
+  log::info("machine {} is emptied: others have room for its tasks", m.id);
+  m.draining = true;
+  for (auto& [key, o] : m.occupants) {
+    if (o.holds_room() && o.job->checkpoint.count() > 0) {
+      stop_occupant(m, o, o.job->save + Seconds(settings_.gang_peer));
+    }
+  }
+}
+
 void Fleet::consolidate(const std::function<bool(const Machine&)>& spare) {
   if (!settled_ || !election_.entitled() || !demand_.empty()) return;
   auto s = snapshot();
   if (!s.jobs.empty()) return;
-  // Those that cost most for what stands idle on them first.
-  const auto idle = [](const sched::PlanMachine& m) {
-    const double share = m.type->gpus > 0 ? m.free.gpus / m.type->gpus : m.free.cpus / m.type->cpus;
-    return m.price() * share;
-  };
-  std::vector<std::size_t> order(s.machines.size());
-  std::iota(order.begin(), order.end(), 0);
-  std::sort(order.begin(), order.end(), [&](std::size_t x, std::size_t y) {
-    return std::pair(idle(s.machines[x]), x) > std::pair(idle(s.machines[y]), y);
-  });
-  std::vector<bool> leaving(s.machines.size(), false);
+  Consolidation consolidation(s.machines);
+  const std::size_t most = std::max(kMostEmptied, s.machines.size() / kEmptiedOf);
   std::size_t emptied = 0;
-  for (const auto from : order) {
-    if (emptied >= std::max(kMostEmptied, s.machines.size() / kEmptiedOf)) break;
+  for (const auto from : costliest_idle_first(s.machines)) {
+    if (emptied >= most) break;
     Machine& m = *planned_machines_[s.machines[from].ref];
     if (s.machines[from].empty() || !can_move(m) || !spare(m)) continue;
-    std::vector<std::pair<std::size_t, const JobSpec*>> moves;
-    bool fits = true;
+    std::vector<const JobSpec*> tasks;
     for (const auto& [key, o] : m.occupants) {
-      if (!o.holds_room() || o.job->checkpoint.count() <= 0) continue;
-      // The fullest that has room.
-      std::optional<std::size_t> best;
-      for (std::size_t to = 0; to < s.machines.size(); ++to) {
-        const auto& t = s.machines[to];
-        if (to == from || leaving[to] || t.empty() || t.price() > s.machines[from].price())
-          continue;
-        if (o.job->one_zone || o.job->spread) continue;
-        if (!sched::allowed_on(*o.job, t) || !sched::fits(*o.job, t.free)) continue;
-        if (!best || idle(t) < idle(s.machines[*best])) best = to;
-      }
-      if (!best) {
-        fits = false;
-        break;
-      }
-      s.machines[*best].free.add(*o.job, -1);
-      moves.emplace_back(*best, o.job.get());
+      if (o.holds_room() && o.job->checkpoint.count() > 0) tasks.push_back(o.job.get());
     }
-    if (!fits) {
-      for (const auto& [to, job] : moves) s.machines[to].free.add(*job);
-      continue;
-    }
-    leaving[from] = true;
+    if (!consolidation.move_all(from, tasks)) continue;
     ++emptied;
-    log::info("machine {} is emptied: others have room for its tasks", m.id);
-    m.draining = true;
-    for (auto& [key, o] : m.occupants) {
-      if (o.holds_room() && o.job->checkpoint.count() > 0) {
-        stop_occupant(m, o, o.job->save + Seconds(settings_.gang_peer));
-      }
-    }
+    empty(m);
   }
 }
 
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -155,7 +155,7 @@
   std::vector<VictimRef> refs;
   const auto candidates = victims(s, plan, refs);
   plan.steps += candidates.size();
-  std::vector<std::pair<std::string, Command>> direct;
+  DirectStops direct;
   for (const auto ref : sched::preempt(s, plan, candidates, runtime_.rng())) {
     const auto& [m, o] = refs[ref];
     log::debug("{}/{} on {} makes room", o->task.job, o->task.index, m->id);
