--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -9,6 +9,13 @@
 namespace asterstair {
 namespace {
 
+constexpr double kLargestNumber = 1e9;  // beyond any machine, rate or time that is meant
+constexpr std::size_t kDefaultConnections = 1024;
+// When a leader falls silent the workers should have found its successor before their leases run
+// out. Where leases are too short for that in any case, a long grant outlasts more outages, and a
+// majority replaces the leader sooner.
+constexpr Duration kShortestGrant = 10s, kLongestGrant = 20s;
+
 [[noreturn]] void fail(const std::string& field, const std::string& why) {
   throw SettingsError("settings: " + field + ": " + why);
 }
@@ -21,9 +28,7 @@
 
 double number(const toml::table& t, const std::string& where, std::string_view key, double least) {
   const auto v = t[key].value<double>();
-  // Beyond any machine, rate or time that is meant.
-  constexpr double kAbsurd = 1e9;
-  if (!v || !(*v >= least) || *v > kAbsurd) {
+  if (!v || !(*v >= least) || *v > kLargestNumber) {
     fail(where + std::string(key), "a number of at least " + std::to_string(least) + " is needed");
   }
   return *v;
@@ -73,18 +78,17 @@
   return to_duration(Seconds(number(t, where, key, 0.001)));
 }
 
-}  // namespace
-
-Settings parse_settings(std::string_view toml_text) {
-  toml::table root;
+toml::table parse_toml(std::string_view toml_text) {
   try {
-    root = toml::parse(toml_text);
+    return toml::parse(toml_text);
   } catch (const toml::parse_error& e) {
     std::ostringstream out;
     out << "settings: line " << e.source().begin.line << ": " << e.description();
     throw SettingsError(out.str());
   }
-  Settings s;
+}
+
+void read_node(const toml::table& root, Settings& s) {
   s.node = text(root, "", "node");
   s.zone = text(root, "", "zone");
   s.api_address = address(root, "", "api_addr");
@@ -96,8 +100,9 @@
   const auto& external = section(root, "", "external");
   s.cloud_address = address(external, "external.", "cloud");
   s.state_address = address(external, "external.", "state");
+}
 
-  const auto& cluster = section(root, "", "cluster");
+void read_zones(const toml::table& cluster, Settings& s) {
   if (const auto* zones = cluster["zones"].as_array()) {
     for (const auto& z : *zones) {
       const auto name = z.value<std::string>();
@@ -106,6 +111,9 @@
     }
   }
   if (s.zones.empty()) fail("cluster.zones", "a list of names is needed");
+}
+
+void read_teams(const toml::table& cluster, Settings& s) {
   each_table(cluster, "cluster.", "teams", [&](const toml::table& t) {
     const std::string where = "cluster.teams.";
     TeamSettings team{text(t, where, "name"), optional_number(t, where, "cpus"),
@@ -113,18 +121,27 @@
                       optional_number(t, where, "gpus_max")};
     s.teams[team.name] = team;
   });
+}
+
+void read_objectives(const toml::table& cluster, Settings& s) {
   each_table(cluster, "cluster.", "objectives", [&](const toml::table& t) {
     const std::string where = "cluster.objectives.";
     s.objectives.push_back({text(t, where, "kind"), t["class"].value_or(std::string()),
                             Seconds(optional_number(t, where, "within_s")),
                             optional_number(t, where, "share")});
   });
+}
+
+void read_workers(const toml::table& cluster, Settings& s) {
   const auto& workers = section(cluster, "cluster.", "workers");
   s.report_every = span(workers, "cluster.workers.", "report_s");
   s.lease = span(workers, "cluster.workers.", "lease_s");
   s.gang_wait = span(workers, "cluster.workers.", "gang_wait_s");
   s.gang_peer = span(workers, "cluster.workers.", "gang_peer_s");
   s.cancel_within = span(workers, "cluster.workers.", "cancel_s");
+}
+
+void read_services(const toml::table& cluster, Settings& s) {
   const auto& state = section(cluster, "cluster.", "state");
   s.state_rps = number(state, "cluster.state.", "rps", 1);
   s.state_write_rps = number(state, "cluster.state.", "write_rps", 1);
@@ -133,17 +150,35 @@
   const auto& cloud = section(cluster, "cluster.", "cloud");
   s.cloud_rps = number(cloud, "cluster.cloud.", "rps", 0.01);
   s.list_lag = to_duration(Seconds(number(cloud, "cluster.cloud.", "list_lag_s", 0)));
-  s.max_connections = 1024;
-  if (const auto* limits = cluster["machine_limits"].as_table()) {
-    if (limits->contains("max_connections")) {
-      s.max_connections = static_cast<std::size_t>(
-          number(*limits, "cluster.machine_limits.", "max_connections", 16));
-    }
-    if (limits->contains("cpu_share")) {
-      s.cpu_share = std::min(1.0, number(*limits, "cluster.machine_limits.", "cpu_share", 0.001));
-    }
+}
+
+void read_limits(const toml::table& cluster, Settings& s) {
+  s.max_connections = kDefaultConnections;
+  const auto* limits = cluster["machine_limits"].as_table();
+  if (limits == nullptr) return;
+  const std::string where = "cluster.machine_limits.";
+  if (limits->contains("max_connections")) {
+    s.max_connections = static_cast<std::size_t>(number(*limits, where, "max_connections", 16));
+  }
+  if (limits->contains("cpu_share")) {
+    s.cpu_share = std::min(1.0, number(*limits, where, "cpu_share", 0.001));
   }
-  leader_ttl(s);
+}
+
+}  // namespace
+
+Settings parse_settings(std::string_view toml_text) {
+  const toml::table root = parse_toml(toml_text);
+  Settings s;
+  read_node(root, s);
+  const auto& cluster = section(root, "", "cluster");
+  read_zones(cluster, s);
+  read_teams(cluster, s);
+  read_objectives(cluster, s);
+  read_workers(cluster, s);
+  read_services(cluster, s);
+  read_limits(cluster, s);
+  leader_ttl(s);  // refuses times with which no leader would be safe
   return s;
 }
 
@@ -170,11 +205,9 @@
 
 Duration leader_ttl(const Settings& s) {
   const Duration room = view_limit(s);
-  // When a leader falls silent the workers should have found its successor before their leases run
-  // out. Where leases are too short for that in any case, a long grant outlasts more outages.
-  constexpr Duration kShortest = 10s, kLongest = 20s;
   const Duration in_time = s.lease * 3 / 5;
-  return std::min<Duration>(room, in_time >= kShortest ? std::min(in_time, kLongest) : kLongest);
+  return std::min(room,
+                  in_time >= kShortestGrant ? std::min(in_time, kLongestGrant) : kLongestGrant);
 }
 
 }  // namespace asterstair
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -36,20 +36,85 @@
   std::string header_field, header_value;
   char buffer[16384];
 
-  void note_header() {
-    static constexpr std::string_view kRetry = "retry-after";
-    if (header_field.size() == kRetry.size() &&
-        std::equal(kRetry.begin(), kRetry.end(), header_field.begin(), [](char a, char b) {
-          return a == std::tolower(static_cast<unsigned char>(b));
-        })) {
-      const int n = std::atoi(header_value.c_str());
-      if (n >= 0) response.retry_after = std::chrono::seconds(n);
-    }
-    header_field.clear();
-    header_value.clear();
-  }
+  void note_header();
 };
 
+namespace {
+
+constexpr std::string_view kRetryAfter = "retry-after";
+constexpr std::size_t kLongestHeader = 256;  // what is longer is of no interest here
+
+using Connection = HttpClient::Connection;
+
+bool equal_without_case(std::string_view lower, std::string_view any) {
+  return lower.size() == any.size() &&
+         std::equal(lower.begin(), lower.end(), any.begin(), [](char a, char b) {
+           return a == std::tolower(static_cast<unsigned char>(b));
+         });
+}
+
+int on_header_field(http_parser* parser, const char* at, std::size_t length) {
+  auto* c = static_cast<Connection*>(parser->data);
+  if (!c->header_value.empty()) c->note_header();
+  if (c->header_field.size() < kLongestHeader) c->header_field.append(at, length);
+  return 0;
+}
+
+int on_header_value(http_parser* parser, const char* at, std::size_t length) {
+  auto* c = static_cast<Connection*>(parser->data);
+  if (c->header_value.size() < kLongestHeader) c->header_value.append(at, length);
+  return 0;
+}
+
+int on_headers_complete(http_parser* parser) {
+  auto* c = static_cast<Connection*>(parser->data);
+  c->note_header();
+  c->response.status = parser->status_code;
+  return 0;
+}
+
+int on_body(http_parser* parser, const char* at, std::size_t length) {
+  auto* c = static_cast<Connection*>(parser->data);
+  if (c->response.body.size() + length > kLargestAnswer) return 1;
+  c->response.body.append(at, length);
+  return 0;
+}
+
+int on_message_complete(http_parser* parser) {
+  http_parser_pause(parser, 1);
+  return 0;
+}
+
+const http_parser_settings& parser_settings() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings out;
+    http_parser_settings_init(&out);
+    out.on_header_field = on_header_field;
+    out.on_header_value = on_header_value;
+    out.on_headers_complete = on_headers_complete;
+    out.on_body = on_body;
+    out.on_message_complete = on_message_complete;
+    return out;
+  }();
+  return settings;
+}
+
+void on_allocate(uv_handle_t* handle, std::size_t /*suggested*/, uv_buf_t* buffer) {
+  auto* c = static_cast<Connection*>(handle->data);
+  *buffer = uv_buf_init(c->buffer, sizeof c->buffer);
+}
+
+}  // namespace
+
+void HttpClient::Connection::note_header() {
+  if (equal_without_case(kRetryAfter, header_field)) {
+    const int n = std::atoi(header_value.c_str());
+    if (n >= 0) response.retry_after = std::chrono::seconds(n);
+  }
+  header_field.clear();
+  header_value.clear();
+}
+
 HttpClient::HttpClient(uv_loop_t* loop, std::size_t max_connections)
     : loop_(loop), max_connections_(std::max<std::size_t>(max_connections, 8)) {}
 
@@ -57,38 +122,10 @@
 
 void HttpClient::send(const std::string& address, HttpRequest request, Duration timeout,
                       HttpCallback done) {
-  Connection* c = nullptr;
-  auto& idle = idle_[address];
-  if (!idle.empty()) {
-    c = idle.back();
-    idle.pop_back();
-  } else {
-    const auto target = parse_address(address);
-    if (open_ >= max_connections_) close_longest_idle();
-    if (!target || open_ >= max_connections_) {
-      // Answered from the loop, never from inside the call: callers need not be re-entrant.
-      auto* timer = new uv_timer_t;
-      timer->data = new HttpCallback(std::move(done));
-      uv_timer_init(loop_, timer);
-      uv_timer_start(
-          timer,
-          [](uv_timer_t* t) {
-            std::unique_ptr<HttpCallback> callback(static_cast<HttpCallback*>(t->data));
-            uv_close(reinterpret_cast<uv_handle_t*>(t),
-                     [](uv_handle_t* h) { delete reinterpret_cast<uv_timer_t*>(h); });
-            (*callback)(HttpResponse{});
-          },
-          1, 0);
-      return;
-    }
-    c = new Connection;
-    c->owner = this;
-    c->address = address;
-    ++open_;
-    uv_tcp_init(loop_, &c->tcp);
-    uv_tcp_nodelay(&c->tcp, 1);
-    uv_timer_init(loop_, &c->timer);
-    c->tcp.data = c->timer.data = c->connect.data = c->write.data = c->parser.data = c;
+  Connection* c = idle_or_new(address);
+  if (c == nullptr) {
+    fail_later(std::move(done));
+    return;
   }
   c->busy = true;
   c->got_bytes = false;
@@ -96,109 +133,105 @@
   c->done = std::move(done);
   c->response = HttpResponse{};
   const auto ms = std::chrono::ceil<milliseconds>(timeout).count();
-  uv_update_time(loop_);
-  uv_timer_start(
-      &c->timer,
-      [](uv_timer_t* t) {
-        auto* conn = static_cast<Connection*>(t->data);
-        conn->owner->finish(conn, HttpResponse{}, false);
-      },
-      static_cast<std::uint64_t>(std::max<std::int64_t>(ms, 1)), 0);
+  fail_after(c, std::max<std::int64_t>(ms, 1));
   if (c->connected) {
     start(c);
-    return;
+  } else {
+    connect(c);
+  }
+}
+
+// None if the address is not one, or no more connections may be opened.
+HttpClient::Connection* HttpClient::idle_or_new(const std::string& address) {
+  auto& idle = idle_[address];
+  if (!idle.empty()) {
+    Connection* c = idle.back();
+    idle.pop_back();
+    return c;
   }
-  const auto target = parse_address(address);
-  const int e = uv_tcp_connect(
-      &c->connect, &c->tcp, reinterpret_cast<const sockaddr*>(&*target),
-      [](uv_connect_t* r, int status) {
-        auto* conn = static_cast<Connection*>(r->data);
-        if (conn->closing) return;
-        if (status != 0) {
-          conn->owner->finish(conn, HttpResponse{}, false);
-          return;
-        }
-        conn->connected = true;
-        uv_read_start(
-            reinterpret_cast<uv_stream_t*>(&conn->tcp),
-            [](uv_handle_t* h, std::size_t, uv_buf_t* b) {
-              auto* k = static_cast<Connection*>(h->data);
-              *b = uv_buf_init(k->buffer, sizeof k->buffer);
-            },
-            [](uv_stream_t* s, ssize_t n, const uv_buf_t* b) {
-              auto* k = static_cast<Connection*>(s->data);
-              if (n == 0) return;
-              static const http_parser_settings kSettings = [] {
-                http_parser_settings p;
-                http_parser_settings_init(&p);
-                p.on_header_field = [](http_parser* q, const char* at, std::size_t len) {
-                  auto* x = static_cast<Connection*>(q->data);
-                  if (!x->header_value.empty()) x->note_header();
-                  if (x->header_field.size() < 256) x->header_field.append(at, len);
-                  return 0;
-                };
-                p.on_header_value = [](http_parser* q, const char* at, std::size_t len) {
-                  auto* x = static_cast<Connection*>(q->data);
-                  if (x->header_value.size() < 256) x->header_value.append(at, len);
-                  return 0;
-                };
-                p.on_headers_complete = [](http_parser* q) {
-                  auto* x = static_cast<Connection*>(q->data);
-                  x->note_header();
-                  x->response.status = q->status_code;
-                  return 0;
-                };
-                p.on_body = [](http_parser* q, const char* at, std::size_t len) {
-                  auto* x = static_cast<Connection*>(q->data);
-                  if (x->response.body.size() + len > kLargestAnswer) return 1;
-                  x->response.body.append(at, len);
-                  return 0;
-                };
-                p.on_message_complete = [](http_parser* q) {
-                  http_parser_pause(q, 1);
-                  return 0;
-                };
-                return p;
-              }();
-              bool complete = false;
-              if (n > 0 && k->busy) {
-                k->got_bytes = true;
-                const auto used = http_parser_execute(&k->parser, &kSettings, b->base,
-                                                      static_cast<std::size_t>(n));
-                const auto error = HTTP_PARSER_ERRNO(&k->parser);
-                complete = error == HPE_PAUSED;
-                if (error == HPE_OK) return;
-                if (complete) {
-                  http_parser_pause(&k->parser, 0);
-                  const bool reusable = http_should_keep_alive(&k->parser) != 0 &&
-                                        used == static_cast<std::size_t>(n);
-                  k->owner->finish(k, std::move(k->response), reusable);
-                  return;
-                }
-              } else if (n == UV_EOF && k->busy && k->got_bytes) {
-                // A body without a length ends with the connection.
-                http_parser_execute(&k->parser, &kSettings, nullptr, 0);
-                if (HTTP_PARSER_ERRNO(&k->parser) == HPE_PAUSED) {
-                  k->owner->finish(k, std::move(k->response), false);
-                  return;
-                }
-              }
-              k->owner->finish(k, HttpResponse{}, false);
-            });
-        conn->owner->start(conn);
-      });
-  if (e != 0) fail_soon(c);
+  if (open_ >= max_connections_) close_longest_idle();
+  if (!parse_address(address) || open_ >= max_connections_) return nullptr;
+  auto* c = new Connection;
+  c->owner = this;
+  c->address = address;
+  ++open_;
+  uv_tcp_init(loop_, &c->tcp);
+  uv_tcp_nodelay(&c->tcp, 1);
+  uv_timer_init(loop_, &c->timer);
+  c->tcp.data = c->timer.data = c->connect.data = c->write.data = c->parser.data = c;
+  return c;
 }
 
 // Answered from the loop, never from inside the call: callers need not be re-entrant.
-void HttpClient::fail_soon(Connection* c) {
-  uv_timer_start(
-      &c->timer,
-      [](uv_timer_t* t) {
-        auto* conn = static_cast<Connection*>(t->data);
-        conn->owner->finish(conn, HttpResponse{}, false);
-      },
-      1, 0);
+void HttpClient::fail_later(HttpCallback done) {
+  auto* timer = new uv_timer_t;
+  timer->data = new HttpCallback(std::move(done));
+  uv_timer_init(loop_, timer);
+  const auto expired = [](uv_timer_t* t) {
+    const std::unique_ptr<HttpCallback> callback(static_cast<HttpCallback*>(t->data));
+    uv_close(reinterpret_cast<uv_handle_t*>(t),
+             [](uv_handle_t* h) { delete reinterpret_cast<uv_timer_t*>(h); });
+    (*callback)(HttpResponse{});
+  };
+  uv_timer_start(timer, expired, 1, 0);
+}
+
+void HttpClient::fail_after(Connection* c, std::int64_t ms) {
+  uv_update_time(loop_);
+  const auto expired = [](uv_timer_t* t) {
+    auto* conn = static_cast<Connection*>(t->data);
+    conn->owner->finish(conn, HttpResponse{}, false);
+  };
+  uv_timer_start(&c->timer, expired, static_cast<std::uint64_t>(ms), 0);
+}
+
+void HttpClient::connect(Connection* c) {
+  const auto target = parse_address(c->address);
+  const auto connected = [](uv_connect_t* r, int status) {
+    auto* conn = static_cast<Connection*>(r->data);
+    if (!conn->closing) conn->owner->on_connected(conn, status);
+  };
+  const int e =
+      uv_tcp_connect(&c->connect, &c->tcp, reinterpret_cast<const sockaddr*>(&*target), connected);
+  if (e != 0) fail_after(c, 1);
+}
+
+void HttpClient::on_connected(Connection* c, int status) {
+  if (status != 0) {
+    finish(c, HttpResponse{}, false);
+    return;
+  }
+  c->connected = true;
+  const auto received = [](uv_stream_t* stream, ssize_t size, const uv_buf_t* buffer) {
+    auto* conn = static_cast<Connection*>(stream->data);
+    if (size != 0) conn->owner->on_received(conn, buffer->base, size);
+  };
+  uv_read_start(reinterpret_cast<uv_stream_t*>(&c->tcp), on_allocate, received);
+  start(c);
+}
+
+void HttpClient::on_received(Connection* c, const char* data, std::int64_t size) {
+  if (size > 0 && c->busy) {
+    c->got_bytes = true;
+    const auto given = static_cast<std::size_t>(size);
+    const auto used = http_parser_execute(&c->parser, &parser_settings(), data, given);
+    const auto error = HTTP_PARSER_ERRNO(&c->parser);
+    if (error == HPE_OK) return;
+    if (error == HPE_PAUSED) {
+      http_parser_pause(&c->parser, 0);
+      const bool reusable = http_should_keep_alive(&c->parser) != 0 && used == given;
+      finish(c, std::move(c->response), reusable);
+      return;
+    }
+  } else if (size == UV_EOF && c->busy && c->got_bytes) {
+    // A body without a length ends with the connection.
+    http_parser_execute(&c->parser, &parser_settings(), nullptr, 0);
+    if (HTTP_PARSER_ERRNO(&c->parser) == HPE_PAUSED) {
+      finish(c, std::move(c->response), false);
+      return;
+    }
+  }
+  finish(c, HttpResponse{}, false);
 }
 
 void HttpClient::start(Connection* c) {
@@ -223,7 +256,7 @@
                            }
                          });
   if (e != 0) {
-    fail_soon(c);
+    fail_after(c, 1);
   } else {
     c->writing = true;
   }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -15,16 +15,20 @@
 
 class HttpClient {
  public:
+  struct Connection;  // of the implementation
+
   HttpClient(uv_loop_t* loop, std::size_t max_connections);
   ~HttpClient();
   void send(const std::string& address, HttpRequest request, Duration timeout, HttpCallback done);
 
  private:
-  struct Connection;
-  friend struct Connection;
-
+  Connection* idle_or_new(const std::string& address);
+  void connect(Connection* connection);
+  void on_connected(Connection* connection, int status);
+  void on_received(Connection* connection, const char* data, std::int64_t size);
   void start(Connection* connection);
-  void fail_soon(Connection* connection);
+  void fail_later(HttpCallback done);
+  void fail_after(Connection* connection, std::int64_t ms);
   void finish(Connection* connection, HttpResponse response, bool reusable);
   void release(Connection* connection);
   void close_longest_idle();
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -57,6 +57,13 @@
   std::string pending;  // bytes that came while a request was being answered
   std::string outgoing;
   char buffer[8192];
+
+  static const http_parser_settings& parser_settings();
+  static int on_message_begin(http_parser* parser);
+  static int on_url(http_parser* parser, const char* at, std::size_t length);
+  static int on_headers_complete(http_parser* parser);
+  static int on_body(http_parser* parser, const char* at, std::size_t length);
+  static int on_message_complete(http_parser* parser);
 };
 
 HttpServer::HttpServer(uv_loop_t* loop, Limits limits, Handler handler)
@@ -166,54 +173,67 @@
   uv_close(reinterpret_cast<uv_handle_t*>(&c->timer), closed);
 }
 
-void HttpServer::parse(Connection* c, const char* data, std::size_t size) {
-  static const http_parser_settings kSettings = [] {
-    http_parser_settings p;
-    http_parser_settings_init(&p);
-    p.on_message_begin = [](http_parser* q) {
-      auto* x = static_cast<Connection*>(q->data);
-      x->request = HttpRequest{};
-      x->too_large = false;
-      return 0;
-    };
-    p.on_url = [](http_parser* q, const char* at, std::size_t len) {
-      auto* x = static_cast<Connection*>(q->data);
-      if (x->request.target.size() + len > kLongestTarget) return 1;
-      x->request.target.append(at, len);
-      return 0;
-    };
-    p.on_headers_complete = [](http_parser* q) {
-      auto* x = static_cast<Connection*>(q->data);
-      if (q->content_length != ULLONG_MAX && q->content_length > x->owner->limits_.body) {
-        x->too_large = true;
-        return -1;  // 1 and 2 have meanings of their own to the parser
-      }
-      return 0;
-    };
-    p.on_body = [](http_parser* q, const char* at, std::size_t len) {
-      auto* x = static_cast<Connection*>(q->data);
-      if (x->request.body.size() + len > x->owner->limits_.body) {
-        x->too_large = true;
-        return 1;
-      }
-      x->request.body.append(at, len);
-      return 0;
-    };
-    p.on_message_complete = [](http_parser* q) {
-      auto* x = static_cast<Connection*>(q->data);
-      x->request.method = http_method_str(static_cast<http_method>(q->method));
-      x->complete = true;
-      http_parser_pause(q, 1);
-      return 0;
-    };
-    return p;
+int HttpServer::Connection::on_message_begin(http_parser* parser) {
+  auto* c = static_cast<Connection*>(parser->data);
+  c->request = HttpRequest{};
+  c->too_large = false;
+  return 0;
+}
+
+int HttpServer::Connection::on_url(http_parser* parser, const char* at, std::size_t length) {
+  auto* c = static_cast<Connection*>(parser->data);
+  if (c->request.target.size() + length > kLongestTarget) return 1;
+  c->request.target.append(at, length);
+  return 0;
+}
+
+int HttpServer::Connection::on_headers_complete(http_parser* parser) {
+  auto* c = static_cast<Connection*>(parser->data);
+  const bool has_length = parser->content_length != ULLONG_MAX;
+  if (!has_length || parser->content_length <= c->owner->limits_.body) return 0;
+  c->too_large = true;
+  return -1;  // 1 and 2 have meanings of their own to the parser
+}
+
+int HttpServer::Connection::on_body(http_parser* parser, const char* at, std::size_t length) {
+  auto* c = static_cast<Connection*>(parser->data);
+  if (c->request.body.size() + length > c->owner->limits_.body) {
+    c->too_large = true;
+    return 1;
+  }
+  c->request.body.append(at, length);
+  return 0;
+}
+
+int HttpServer::Connection::on_message_complete(http_parser* parser) {
+  auto* c = static_cast<Connection*>(parser->data);
+  c->request.method = http_method_str(static_cast<http_method>(parser->method));
+  c->complete = true;
+  http_parser_pause(parser, 1);
+  return 0;
+}
+
+const http_parser_settings& HttpServer::Connection::parser_settings() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings out;
+    http_parser_settings_init(&out);
+    out.on_message_begin = on_message_begin;
+    out.on_url = on_url;
+    out.on_headers_complete = on_headers_complete;
+    out.on_body = on_body;
+    out.on_message_complete = on_message_complete;
+    return out;
   }();
+  return settings;
+}
+
+void HttpServer::parse(Connection* c, const char* data, std::size_t size) {
   if (!c->in_request) {
     c->in_request = true;
     set_idle(c, false);
     arm(c, limits_.request_time);
   }
-  const auto used = http_parser_execute(&c->parser, &kSettings, data, size);
+  const auto used = http_parser_execute(&c->parser, &Connection::parser_settings(), data, size);
   if (c->complete) {
     c->complete = false;
     http_parser_pause(&c->parser, 0);
