--- a/src/autoscale/autoscale.cpp
+++ b/src/autoscale/autoscale.cpp
@@ -25,8 +25,8 @@
 constexpr auto kConsolidateEvery = 3s;
 constexpr auto kTakeOverPatience = 4s;
 constexpr auto kLull = 20s;
-constexpr int kDeafLeases = 3;         // so long a machine may seem not to hear answers
-constexpr auto kSilentPatience = 20s;  // beyond the lease, before a silent machine is returned
+constexpr int kUnresponsiveLeases = 3;  // so long a machine may seem not to hear answers
+constexpr auto kSilentPatience = 20s;   // beyond the lease, before a silent machine is returned
 
 }  // namespace
 
@@ -337,7 +337,8 @@
 // it says of itself.
 bool Autoscaler::unusable_for_long(const fleet::Machine& m) const {
   const auto now = runtime_.now();
-  if (m.deaf_since && now - *m.deaf_since > settings_.lease * kDeafLeases) return true;
+  if (m.unresponsive_since && now - *m.unresponsive_since > settings_.lease * kUnresponsiveLeases)
+    return true;
   return m.silent && now - m.last_answered > settings_.lease + kSilentPatience;
 }
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -91,12 +91,12 @@
 
 bool Fleet::usable(const Machine& m) const {
   const auto now = runtime_.now();
-  return m.reported && !m.silent && !m.draining && !m.faulty && !m.goes_at && !m.deaf_since &&
-         now >= m.no_room_until && now >= m.paused_until &&
+  return m.reported && !m.silent && !m.draining && !m.faulty && !m.goes_at &&
+         !m.unresponsive_since && now >= m.no_room_until && now >= m.paused_until &&
          now - m.last_report < settings_.report_every * 5 / 2 + 1s;
 }
 
-bool Fleet::hears_nobody() const {
+bool Fleet::hears_no_worker() const {
   if (!loaded_ || runtime_.now() - heard_at_ < settings_.report_every * 5 / 4 + kReportPatience) {
     return false;
   }
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -66,7 +66,7 @@
   bool settled() const { return settled_; }
   // Whether no report has come for so long, from several machines, that they cannot all be at
   // fault.
-  bool hears_nobody() const;
+  bool hears_no_worker() const;
   // When the last report came; from none in this term, when it began.
   TimePoint heard_at() const { return heard_at_; }
   bool heard_any() const { return heard_any_; }
@@ -112,8 +112,8 @@
   void finish(Job& job);
   bool never_sees_token(const Machine& machine) const;
   void direct_answer(const WorkerReport& report);
-  void check_hearing(Machine& machine, const Events& events);
-  void seems_deaf(Machine& machine);
+  void check_responsiveness(Machine& machine, const Events& events);
+  void seems_unresponsive(Machine& machine);
   void handle(Machine& machine, const Events& events);
   void note_running(Job& job);
   void on_exit(Machine& machine, const Occupant& occupant);
--- a/src/fleet/machines.cpp
+++ b/src/fleet/machines.cpp
@@ -16,7 +16,8 @@
 
 Holding Machine::count_holding() const {
   Holding out;
-  for (const auto& [key, o] : occupants) {
+  for (const auto& occupant : occupants) {
+    const Occupant& o = occupant.second;
     if (!o.holds_room()) continue;
     if (!o.job) {
       out.unknown = true;
--- a/src/fleet/machines.hpp
+++ b/src/fleet/machines.hpp
@@ -73,9 +73,9 @@
   // Reports arrive, but answers seem not to: start orders in a row that never showed, sessions lost
   // in a row, since when it has seemed so, and until when it must show that it hears us by keeping
   // its session.
-  std::uint32_t unheard = 0, lapses = 0;
-  std::optional<TimePoint> deaf_since;
-  TimePoint deaf_until{}, lapsed_at{};
+  std::uint32_t starts_unseen = 0, sessions_lost = 0;
+  std::optional<TimePoint> unresponsive_since;
+  TimePoint unresponsive_until{}, session_lost_at{};
   std::set<std::string> failed_jobs;  // since its last success
   std::uint32_t failures = 0;
   TimePoint idle_since{};
--- a/src/fleet/reports.cpp
+++ b/src/fleet/reports.cpp
@@ -11,9 +11,9 @@
 namespace asterstair::fleet {
 namespace {
 
-constexpr auto kLeaseMargin = 300ms;         // beyond drift: steps between clock reading and action
-constexpr std::uint32_t kLapses = 2;         // sessions in a row lost without a sign of hearing
-constexpr std::uint32_t kUnheardOrders = 2;  // answers in a row whose orders never showed
+constexpr auto kLeaseMargin = 300ms;        // beyond drift: steps between clock reading and action
+constexpr std::uint32_t kSessionsLost = 2;  // sessions in a row lost without a sign of hearing
+constexpr std::uint32_t kStartsUnseen = 2;  // answers in a row whose orders never showed
 // For so much of a lease, answers that bring the token are repeated.
 constexpr int kTokenPatience = 3, kTokenPatienceOf = 5;
 constexpr auto kNoRoomPause = 3s;
@@ -75,7 +75,7 @@
     // doings. The answer carries the token; the next report counts.
     return {200, wire::encode_commands(token_, stops_for_ended(r))};
   }
-  const bool lapsed = m.reported && r.session > m.session;
+  const bool session_lost = m.reported && r.session > m.session;
   Events events;
   if (machines_.apply(r, now, cache_gb(r.type), events) == Machines::Order::Late) {
     return {200, wire::encode_commands(token_, stops_for_ended(r))};
@@ -83,12 +83,12 @@
   if (!m.rostered) roster_waiting_.insert(m.id);
   // A cut may cost sessions, of which all is heard at once when it ends. Losing one after the other
   // while reports arrive shows that answers do not.
-  if (lapsed && now - m.lapsed_at > settings_.lease / 2) {
-    m.lapsed_at = now;
-    if (++m.lapses >= kLapses) seems_deaf(m);
+  if (session_lost && now - m.session_lost_at > settings_.lease / 2) {
+    m.session_lost_at = now;
+    if (++m.sessions_lost >= kSessionsLost) seems_unresponsive(m);
   }
   handle(m, events);
-  check_hearing(m, events);
+  check_responsiveness(m, events);
   check_notice(m);
   if (!settled_) check_settled();
   if (plan_wanted_) plan_soon();
@@ -124,31 +124,32 @@
 // A machine whose reports arrive while nothing reaches it takes up work that never starts. After a
 // few orders that did not show it must keep its session for a whole lease, which it can only if
 // answers reach it, before it gets more.
-void Fleet::check_hearing(Machine& m, const Events& events) {
+void Fleet::check_responsiveness(Machine& m, const Events& events) {
   for (const auto& e : events) {
     if (e.kind == TaskEvent::Kind::Started) {
-      m.unheard = m.lapses = 0;
-      if (m.deaf_since && runtime_.now() >= m.deaf_until) m.deaf_since.reset();
+      m.starts_unseen = m.sessions_lost = 0;
+      if (m.unresponsive_since && runtime_.now() >= m.unresponsive_until)
+        m.unresponsive_since.reset();
     }
     if (e.kind == TaskEvent::Kind::NotStarted && e.occupant.phase == Occupant::Phase::Ordered) {
-      if (++m.unheard >= kUnheardOrders) seems_deaf(m);
+      if (++m.starts_unseen >= kStartsUnseen) seems_unresponsive(m);
       break;  // one answer, however many orders it held
     }
   }
-  if (m.deaf_since && runtime_.now() >= m.deaf_until) {
-    m.deaf_since.reset();
-    m.unheard = m.lapses = 0;
+  if (m.unresponsive_since && runtime_.now() >= m.unresponsive_until) {
+    m.unresponsive_since.reset();
+    m.starts_unseen = m.sessions_lost = 0;
   }
 }
 
-void Fleet::seems_deaf(Machine& m) {
+void Fleet::seems_unresponsive(Machine& m) {
   const auto now = runtime_.now();
-  if (!m.deaf_since) {
-    m.deaf_since = now;
+  if (!m.unresponsive_since) {
+    m.unresponsive_since = now;
     log::info("machine {} reports, but answers seem not to reach it", m.id);
   }
   // A lease that runs out shows in the report after that.
-  m.deaf_until = now + settings_.lease + settings_.report_every * 2 + kLeaseMargin;
+  m.unresponsive_until = now + settings_.lease + settings_.report_every * 2 + kLeaseMargin;
 }
 
 void Fleet::handle(Machine& m, const Events& events) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,6 @@
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <cstdio>
 #include <iostream>
 
 #include "base/log.hpp"
@@ -7,8 +8,30 @@
 #include "net/loop.hpp"
 #include "node/node.hpp"
 
-int main(int argc, char** argv) {
-  using namespace asterstair;
+namespace {
+
+using namespace asterstair;
+
+// Serves until the process is killed.
+void serve(const Settings& settings) {
+  net::LoopRuntime runtime(settings);
+  Node node(runtime, settings);
+  net::HttpServer::Limits limits;
+  // The rest is for the node's own connections: state service, cloud, siblings.
+  limits.connections = settings.max_connections * 13 / 16;
+  limits.kept = limits.connections * 7 / 8;
+  net::HttpServer server(runtime.loop(), limits,
+                         [&](HttpRequest request, const net::Respond& respond) {
+                           node.handle(std::move(request), respond);
+                         });
+  server.listen(settings.api_address);
+  runtime.peers().listen([&](const std::string& message) { node.peer_message(message); });
+  log::info("started in zone {}", settings.zone);
+  node.start();
+  runtime.run();
+}
+
+int run(int argc, char** argv) {
   CLI::App app{"asterstair: a cluster scheduler. Logging level: LOG_LEVEL=error|info|debug."};
   std::string config;
   bool check = false;
@@ -30,24 +53,19 @@
   }
   std::signal(SIGPIPE, SIG_IGN);
   log::init(settings.node);
+  serve(settings);
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
   try {
-    net::LoopRuntime runtime(settings);
-    Node node(runtime, settings);
-    net::HttpServer::Limits limits;
-    // The rest is for the node's own connections: state service, cloud, siblings.
-    limits.connections = settings.max_connections * 13 / 16;
-    limits.kept = limits.connections * 7 / 8;
-    net::HttpServer server(runtime.loop(), limits, [&](HttpRequest request, net::Respond respond) {
-      node.handle(std::move(request), respond);
-    });
-    server.listen(settings.api_address);
-    runtime.peers().listen([&](const std::string& message) { node.peer_message(message); });
-    log::info("started in zone {}", settings.zone);
-    node.start();
-    runtime.run();
+    return run(argc, argv);
   } catch (const std::exception& e) {
-    std::cerr << "asterstair: " << e.what() << '\n';
-    return 1;
+    std::fprintf(stderr, "asterstair: %s\n", e.what());
+  } catch (...) {
+    std::fputs("asterstair: ended by an unknown exception\n", stderr);
   }
-  return 0;
+  return 1;
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -176,7 +176,7 @@
   const auto now = runtime_.now();
   const bool store_lost =
       store_.failing_since() != TimePoint{} && now - store_.failing_since() > kStoreLost;
-  const bool workers_lost = fleet_->hears_nobody() && store_.heard_lately(kStoreHeardWithin);
+  const bool workers_lost = fleet_->hears_no_worker() && store_.heard_lately(kStoreHeardWithin);
   if (!store_lost && !workers_lost) return;
   for (const auto& [node, s] : siblings_.all()) {
     if (!SiblingTable::recent(s, now) || !s.sees_store) continue;
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -54,47 +54,47 @@
 // of what a leader reads.
 class ReportReader : public nlohmann::json_sax<Json> {
  public:
-  bool complete() const { return done_ && seen_ == kAllSeen; }
+  bool complete() const { return done_ && seen_ == AllSeen; }
   std::string trouble() const { return trouble_.empty() ? "a field is missing" : trouble_; }
   WorkerReport take() { return std::move(report_); }
 
   bool null() override { return value_seen(); }
   bool boolean(bool v) override {
-    if (depth_ == kTop && key_ == name::kSpot) report_.spot = v;
-    if (depth_ == kTask && key_ == name::kSaved) task_.saved = v;
+    if (depth_ == InTop && key_ == name::kSpot) report_.spot = v;
+    if (depth_ == InTask && key_ == name::kSaved) task_.saved = v;
     return value_seen();
   }
   bool number_integer(number_integer_t v) override {
     return v >= 0 ? number_unsigned(static_cast<std::uint64_t>(v)) : fail("a number is negative");
   }
   bool number_unsigned(number_unsigned_t v) override {
-    if (depth_ == kTop) {
-      if (key_ == name::kSession) field(kSessionSeen, report_.session, v);
-      if (key_ == name::kSeq) field(kSeqSeen, report_.seq, v);
-      if (key_ == name::kToken) field(kTokenSeen, report_.token, v);
+    if (depth_ == InTop) {
+      if (key_ == name::kSession) field(SessionSeen, report_.session, v);
+      if (key_ == name::kSeq) field(SeqSeen, report_.seq, v);
+      if (key_ == name::kToken) field(TokenSeen, report_.token, v);
       if (key_ == name::kNotice) report_.notice = Seconds(static_cast<double>(v));
-    } else if (depth_ == kTask && key_ == name::kAttempt) {
-      field(kAttemptSeen, task_.attempt, v);
+    } else if (depth_ == InTask && key_ == name::kAttempt) {
+      field(AttemptSeen, task_.attempt, v);
     }
     return value_seen();
   }
   bool number_float(number_float_t v, const string_t&) override {
-    if (depth_ == kTop && key_ == name::kNotice) {
+    if (depth_ == InTop && key_ == name::kNotice) {
       if (!std::isfinite(v) || v < 0) return fail("the notice is not a time");
       report_.notice = Seconds(v);
     }
     return value_seen();
   }
   bool string(string_t& v) override {
-    if (depth_ == kTop) {
-      if (key_ == name::kMachine) field(kMachineSeen, report_.machine, v);
-      if (key_ == name::kAddress) field(kAddressSeen, report_.address, v);
-      if (key_ == name::kType) field(kTypeSeen, report_.type, v);
-      if (key_ == name::kZone) field(kZoneSeen, report_.zone, v);
-    } else if (depth_ == kTask) {
+    if (depth_ == InTop) {
+      if (key_ == name::kMachine) field(MachineSeen, report_.machine, v);
+      if (key_ == name::kAddress) field(AddressSeen, report_.address, v);
+      if (key_ == name::kType) field(TypeSeen, report_.type, v);
+      if (key_ == name::kZone) field(ZoneSeen, report_.zone, v);
+    } else if (depth_ == InTask) {
       try {
-        if (key_ == name::kTask) field(kNameSeen, task_.task, decode_task(v));
-        if (key_ == name::kState) field(kStateSeen, task_.state, decode_state(v));
+        if (key_ == name::kTask) field(NameSeen, task_.task, decode_task(v));
+        if (key_ == name::kState) field(StateSeen, task_.state, decode_state(v));
       } catch (const BadMessage& e) {
         return fail(e.what());
       }
@@ -105,9 +105,9 @@
   bool binary(binary_t&) override { return fail("binary values have no place here"); }
   bool start_object(std::size_t) override {
     if (depth_ == 0) {
-      depth_ = kTop;
-    } else if (skipped_ == 0 && depth_ == kList) {
-      depth_ = kTask;
+      depth_ = InTop;
+    } else if (skipped_ == 0 && depth_ == InList) {
+      depth_ = InTask;
       task_ = TaskReport{};
       task_seen_ = 0;
     } else {
@@ -120,14 +120,14 @@
       --skipped_;
       return true;
     }
-    if (depth_ == kTask) {
-      if (task_seen_ != kAllTaskSeen) return fail("a task's field is missing");
+    if (depth_ == InTask) {
+      if (task_seen_ != AllTaskSeen) return fail("a task's field is missing");
       if (task_.state != TaskState::Exited) {
         task_.cause = ExitCause::None;
         task_.saved = false;
       }
       report_.tasks.push_back(std::move(task_));
-      depth_ = kList;
+      depth_ = InList;
     } else {
       depth_ = 0;
       done_ = true;
@@ -136,8 +136,8 @@
   }
   bool start_array(std::size_t) override {
     if (depth_ == 0) return fail("not an object");
-    if (skipped_ == 0 && depth_ == kTop && key_ == name::kTasks) {
-      depth_ = kList;
+    if (skipped_ == 0 && depth_ == InTop && key_ == name::kTasks) {
+      depth_ = InList;
     } else {
       ++skipped_;
     }
@@ -147,7 +147,7 @@
     if (skipped_ > 0) {
       --skipped_;
     } else {
-      depth_ = kTop;
+      depth_ = InTop;
     }
     return true;
   }
@@ -161,31 +161,31 @@
   }
 
  private:
-  enum Depth { kTop = 1, kList, kTask };
+  enum Depth { InTop = 1, InList, InTask };
   enum Seen : unsigned {
-    kMachineSeen = 1,
-    kAddressSeen = 2,
-    kTypeSeen = 4,
-    kZoneSeen = 8,
-    kSessionSeen = 16,
-    kSeqSeen = 32,
-    kTokenSeen = 64,
-    kAllSeen = 127,
-    kNameSeen = 1,
-    kAttemptSeen = 2,
-    kStateSeen = 4,
-    kAllTaskSeen = 7
+    MachineSeen = 1,
+    AddressSeen = 2,
+    TypeSeen = 4,
+    ZoneSeen = 8,
+    SessionSeen = 16,
+    SeqSeen = 32,
+    TokenSeen = 64,
+    AllSeen = 127,
+    NameSeen = 1,
+    AttemptSeen = 2,
+    StateSeen = 4,
+    AllTaskSeen = 7
   };
 
   template <typename T, typename V>
   void field(unsigned seen, T& to, V&& value) {
     if (skipped_ > 0) return;
     to = std::forward<V>(value);
-    (depth_ == kTop ? seen_ : task_seen_) |= seen;
+    (depth_ == InTop ? seen_ : task_seen_) |= seen;
   }
   bool value_seen() {
     if (depth_ == 0) return fail("not an object");
-    if (depth_ == kList && skipped_ == 0) return fail("a task is not an object");
+    if (depth_ == InList && skipped_ == 0) return fail("a task is not an object");
     return true;
   }
   bool fail(const char* why) {
--- a/tests/edges_test.cpp
+++ b/tests/edges_test.cpp
@@ -262,7 +262,7 @@
     for (int port = 20000 + getpid() % 20000; server_port == 0; ++port) {
       server = std::make_unique<net::HttpServer>(
           &loop, net::HttpServer::Limits{4, 1024, 300ms, 300ms, 3},
-          [this](HttpRequest r, const net::Respond& respond) {
+          [this](const HttpRequest& r, const net::Respond& respond) {
             ++served;
             respond({r.target == "/missing" ? 404 : 200, r.method + " " + r.body,
                      std::chrono::seconds(7)});
@@ -387,6 +387,7 @@
 // not, and whoever comes is served.
 TEST_F(Http, HoldsItsConnectionLimitAndServesNewcomers) {
   std::vector<int> fds;
+  fds.reserve(8);
   for (int i = 0; i < 8; ++i) fds.push_back(connect_raw(""));
   run_until([&] { return server->connections() == 4; });
   EXPECT_LE(server->connections(), 4U);
--- a/tests/load/leader_load.cpp
+++ b/tests/load/leader_load.cpp
@@ -1,14 +1,18 @@
 // A grown fleet in simulated time, to count what the leader spends. Run it under callgrind as
 // profile.sh does: the counts repeat, since everything comes from one seed.
 
+#include <cstdio>
 #include <cstdlib>
 #include <iostream>
 
 #include "base/log.hpp"
 #include "sim/scenario.hpp"
 
-int main(int argc, char** argv) {
-  using namespace sim;
+namespace {
+
+using namespace sim;
+
+int run(int argc, char** argv) {
   spdlog::set_level(spdlog::level::off);
   const auto per_pool = argc > 1 ? std::strtoul(argv[1], nullptr, 10) : 25UL;
   const double length = argc > 2 ? std::strtod(argv[2], nullptr) : 60;
@@ -42,3 +46,16 @@
             << s.checker.text();
   return s.checker.broken.empty() ? 0 : 1;
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return run(argc, argv);
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "%s\n", e.what());
+  } catch (...) {
+    std::fputs("ended by an unknown exception\n", stderr);
+  }
+  return 1;
+}
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -61,6 +61,7 @@
   const auto& [terms, seed] = GetParam();
   Scenario s(static_cast<std::uint64_t>(seed), 3, 5, terms.timing);
   std::vector<std::string> ids;
+  ids.reserve(6);
   for (int i = 0; i < 6; ++i) ids.push_back(s.submit(array(6, 600)));
   s.world.run_until(60);
   const int leader = s.leader();
@@ -234,6 +235,7 @@
 TEST(Cancellations, NothingOfThemIsStartedByALeaderThatIsCutOff) {
   Scenario s(48, 1, 5);
   std::vector<std::string> ids;
+  ids.reserve(10);
   // Far more than there is room for: something is started all the time.
   for (int i = 0; i < 10; ++i) ids.push_back(s.submit(array(60, 4)));
   s.world.run_until(40);
--- a/tests/random_runs_test.cpp
+++ b/tests/random_runs_test.cpp
@@ -111,8 +111,8 @@
     often(40, [&s, &w] {
       const auto machines = s.cloud.running();
       if (machines.empty()) return;
-      const auto m = machines[static_cast<std::size_t>(w.uniform(0, 0.999) *
-                                                       static_cast<double>(machines.size()))];
+      const auto& m = machines[static_cast<std::size_t>(w.uniform(0, 0.999) *
+                                                        static_cast<double>(machines.size()))];
       m->sick = true;
       w.at(30s, [m] { m->sick = false; });
     });
@@ -128,8 +128,8 @@
     often(12, [&s, &w, n] {
       const auto machines = s.cloud.running();
       if (machines.empty()) return;
-      const auto m = machines[static_cast<std::size_t>(w.uniform(0, 0.999) *
-                                                       static_cast<double>(machines.size()))];
+      const auto& m = machines[static_cast<std::size_t>(w.uniform(0, 0.999) *
+                                                        static_cast<double>(machines.size()))];
       for (int i = 0; i < n; ++i) w.deafen(s.name(i), m->id, true);
       w.at(to_duration(Seconds(w.uniform(3, 60))), [&s, &w, m, n] {
         for (int i = 0; i < n; ++i) w.deafen(s.name(i), m->id, false);
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -18,7 +18,7 @@
   s.world.run_until(40);
   const auto machines = s.cloud.running();
   ASSERT_FALSE(machines.empty());
-  const auto deaf = machines.front();
+  const auto& deaf = machines.front();
   for (int i = 0; i < s.count(); ++i) s.world.deafen(s.name(i), deaf->id, true);
   std::map<std::string, int> ordered;
   s.world.tamper = [&](const std::string&, const HttpRequest& request, HttpResponse& r) {
