--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -13,10 +13,10 @@
   return r.target.find("prefix=" + std::string(prefix)) != std::string::npos;
 }
 
-// Between one machine and one node, both ways.
-void part(Scenario& s, const std::string& machine, const std::string& node, bool on) {
-  s.world.deafen(machine, node, on);
-  s.world.deafen(node, machine, on);
+// Between two hosts, both ways.
+void part(Scenario& s, const std::string& one, const std::string& other, bool on) {
+  s.world.deafen(one, other, on);
+  s.world.deafen(other, one, on);
 }
 
 // Reports, answers, both ways or one: between the machine and every node.
@@ -455,8 +455,7 @@
   ASSERT_GE(old, 0);
   for (int i = 0; i < s.count(); ++i) {
     if (i == old) continue;
-    s.world.deafen(s.name(old), s.name(i), true);
-    s.world.deafen(s.name(i), s.name(old), true);
+    part(s, s.name(old), s.name(i), true);
   }
   s.world.run_until(52);
   EXPECT_NE(s.leader(), old);
@@ -475,8 +474,7 @@
   ASSERT_GE(leader, 0);
   const int cut_off = (leader + 1) % s.count();
   for (int i = 0; i < s.count(); ++i) {
-    s.world.deafen(s.name(i), s.name(cut_off), true);
-    s.world.deafen(s.name(cut_off), s.name(i), true);
+    part(s, s.name(cut_off), s.name(i), true);
   }
   s.world.run_until(100);
   EXPECT_EQ(s.leader(), leader);
