--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -34,7 +34,6 @@
   HttpCallback done;
   HttpResponse response;
   std::string header_field, header_value;
-  char buffer[16384];
 
   void note_header();
 };
@@ -100,8 +99,8 @@
 }
 
 void on_allocate(uv_handle_t* handle, std::size_t /*suggested*/, uv_buf_t* buffer) {
-  auto* c = static_cast<Connection*>(handle->data);
-  *buffer = uv_buf_init(c->buffer, sizeof c->buffer);
+  auto& read_buffer = HttpClient::read_buffer_of(*static_cast<Connection*>(handle->data));
+  *buffer = uv_buf_init(read_buffer.data(), static_cast<unsigned>(read_buffer.size()));
 }
 
 }  // namespace
@@ -120,6 +119,10 @@
 
 HttpClient::~HttpClient() = default;
 
+ReadBuffer& HttpClient::read_buffer_of(const Connection& connection) {
+  return connection.owner->read_buffer_;
+}
+
 void HttpClient::send(const std::string& address, HttpRequest request, Duration timeout,
                       HttpCallback done) {
   Connection* c = idle_or_new(address);
@@ -276,6 +279,9 @@
   // handle must not be used for the next request until then.
   if (reusable && !c->writing && idle.size() < kMostIdlePerAddress) {
     c->idle_since = ++turns_;
+    c->request = HttpRequest{};
+    c->response = HttpResponse{};
+    release_if_large(c->outgoing);
     idle.push_back(c);
   } else {
     release(c);
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/runtime.hpp"
+#include "net/buffer.hpp"
 
 namespace asterstair::net {
 
@@ -20,6 +21,8 @@
   HttpClient(uv_loop_t* loop, std::size_t max_connections);
   ~HttpClient();
   void send(const std::string& address, HttpRequest request, Duration timeout, HttpCallback done);
+  // Of the connection's client; for the implementation.
+  static ReadBuffer& read_buffer_of(const Connection& connection);
 
  private:
   Connection* idle_or_new(const std::string& address);
@@ -34,6 +37,7 @@
   void close_longest_idle();
 
   uv_loop_t* loop_;
+  ReadBuffer read_buffer_{};
   std::size_t max_connections_;
   std::size_t open_ = 0;
   std::uint64_t turns_ = 0;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -3,8 +3,10 @@
 #include <http_parser.h>
 
 #include <stdexcept>
+#include <utility>
 
 #include "net/address.hpp"
+#include "net/buffer.hpp"
 #include "wire/user.hpp"
 
 namespace asterstair::net {
@@ -56,7 +58,6 @@
   HttpRequest request;
   std::string pending;  // bytes that came while a request was being answered
   std::string outgoing;
-  char buffer[8192];
 
   static const http_parser_settings& parser_settings();
   static int on_message_begin(http_parser* parser);
@@ -113,8 +114,8 @@
   uv_read_start(
       reinterpret_cast<uv_stream_t*>(&c->tcp),
       [](uv_handle_t* h, std::size_t, uv_buf_t* b) {
-        auto* k = static_cast<Connection*>(h->data);
-        *b = uv_buf_init(k->buffer, sizeof k->buffer);
+        auto& buffer = static_cast<Connection*>(h->data)->owner->read_buffer_;
+        *b = uv_buf_init(buffer.data(), static_cast<unsigned>(buffer.size()));
       },
       [](uv_stream_t* s, ssize_t n, const uv_buf_t* b) {
         auto* k = static_cast<Connection*>(s->data);
@@ -190,7 +191,11 @@
 int HttpServer::Connection::on_headers_complete(http_parser* parser) {
   auto* c = static_cast<Connection*>(parser->data);
   const bool has_length = parser->content_length != ULLONG_MAX;
-  if (!has_length || parser->content_length <= c->owner->limits_.body) return 0;
+  if (!has_length) return 0;
+  if (parser->content_length <= c->owner->limits_.body) {
+    c->request.body.reserve(parser->content_length);
+    return 0;
+  }
   c->too_large = true;
   return -1;  // 1 and 2 have meanings of their own to the parser
 }
@@ -282,11 +287,11 @@
         }
         k->busy = false;
         k->in_request = false;
+        release_if_large(k->outgoing);
         k->owner->set_idle(k, true);
         k->owner->arm(k, k->owner->limits_.idle_time);
         if (!k->pending.empty()) {
-          const std::string more = std::move(k->pending);
-          k->pending.clear();
+          const std::string more = std::exchange(k->pending, {});
           k->owner->parse(k, more.data(), more.size());
         }
       });
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -11,6 +11,7 @@
 #include <unordered_set>
 
 #include "base/runtime.hpp"
+#include "net/buffer.hpp"
 
 namespace asterstair::net {
 
@@ -47,6 +48,7 @@
   void parse(Connection* connection, const char* data, std::size_t size);
 
   uv_loop_t* loop_;
+  ReadBuffer read_buffer_{};
   Limits limits_;
   Handler handler_;
   uv_tcp_t listener_{};
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -250,7 +250,7 @@
   return {200, "{}"};
 }
 
-void Node::report(const std::string& body, const std::function<void(HttpResponse)>& respond) {
+void Node::report(std::string body, const std::function<void(HttpResponse)>& respond) {
   report_heard_ = runtime_.now();
   if (!election_.leading()) {
     std::string leader = election_.leader();
@@ -269,7 +269,7 @@
   }
   WorkerReport r;
   try {
-    r = wire::decode_report(body);
+    r = wire::decode_report(std::move(body));
   } catch (const wire::BadMessage& e) {
     log::error("malformed report: {}", e.what());
     respond(failure(400, e.what()));
@@ -292,7 +292,7 @@
     return false;
   };
   if (path == wire::kReportPath) {
-    if (need("POST")) report(request.body, respond);
+    if (need("POST")) report(std::move(request.body), respond);
   } else if (path == wire::kReadyPath) {
     if (need("GET")) respond(ready());
   } else if (path == wire::kRunsPath) {
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -42,7 +42,7 @@
   void check_leadership();
   void check_leader_silence();
   HttpResponse ready() const;
-  void report(const std::string& body, const std::function<void(HttpResponse)>& respond);
+  void report(std::string body, const std::function<void(HttpResponse)>& respond);
 
   Runtime& runtime_;
   Settings settings_;
--- /dev/null
+++ b/tests/report_reader_test.cpp
@@ -0,0 +1,229 @@
+// Reading workers' reports: what is refused, and that the reader by events and a tree of the same
+// message never disagree.
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
+
+#include "wire/worker.hpp"
+
+namespace {
+
+using namespace asterstair;
+using Json = nlohmann::json;
+
+const char* const kReport =
+    R"({"host":"n-1","endpoint":"10.1.0.1:9000","flavor":"g8","yard":"a","loaner":true,"tenure":1,)"
+    R"("tick":88,"baton":41,"warningS":7.5,"pieces":[{"piece":"req-000412/3","try":2,)"
+    R"("stage":"running"},{"piece":"req-000398/0","try":1,"stage":"exited","cause":"halted",)"
+    R"("stored":true}],"extra":{"a":[1,-2,{"piece":"x"}],"host":"other"}})";
+
+// The same message read from a tree, field by field; none if it must be refused.
+std::optional<WorkerReport> read_from_tree(const std::string& text) {
+  const auto in = Json::parse(text, nullptr, false);
+  if (!in.is_object()) return std::nullopt;
+  for (const char* key : {"host", "endpoint", "flavor", "yard"}) {
+    if (!in.contains(key) || !in[key].is_string()) return std::nullopt;
+  }
+  for (const char* key : {"tenure", "tick", "baton"}) {
+    if (!in.contains(key) || !in[key].is_number_unsigned()) return std::nullopt;
+  }
+  if (!in.contains("loaner") || !in["loaner"].is_boolean()) return std::nullopt;
+  if (!in.contains("pieces") || !in["pieces"].is_array()) return std::nullopt;
+  WorkerReport out;
+  out.machine = in["host"];
+  out.address = in["endpoint"];
+  out.type = in["flavor"];
+  out.zone = in["yard"];
+  out.spot = in["loaner"];
+  out.session = in["tenure"];
+  out.seq = in["tick"];
+  out.token = in["baton"];
+  if (in.contains("warningS") && in["warningS"].is_number()) {
+    if (in["warningS"] < 0) return std::nullopt;
+    out.notice = Seconds(in["warningS"].get<double>());
+  }
+  for (const auto& t : in["pieces"]) {
+    if (!t.is_object() || !t.contains("piece") || !t["piece"].is_string()) return std::nullopt;
+    if (!t.contains("try") || !t["try"].is_number_unsigned()) return std::nullopt;
+    if (!t.contains("stage") || !t["stage"].is_string()) return std::nullopt;
+    const std::string name = t["piece"], stage = t["stage"];
+    const auto slash = name.rfind('/');
+    if (slash == std::string::npos) return std::nullopt;
+    const auto number = name.substr(slash + 1);
+    if (number.empty() || number.size() > 9) return std::nullopt;
+    if (number.find_first_not_of("0123456789") != std::string::npos) return std::nullopt;
+    TaskReport task;
+    task.task = {name.substr(0, slash), static_cast<std::uint32_t>(std::stoul(number))};
+    task.attempt = t["try"];
+    const std::map<std::string, TaskState> states{{"pulling", TaskState::Fetching},
+                                                  {"gathering", TaskState::Waiting},
+                                                  {"running", TaskState::Running},
+                                                  {"saving", TaskState::Saving},
+                                                  {"exited", TaskState::Exited}};
+    if (states.count(stage) == 0) return std::nullopt;
+    task.state = states.at(stage);
+    out.tasks.push_back(task);
+  }
+  return out;
+}
+
+std::optional<WorkerReport> read(const std::string& text) {
+  try {
+    return wire::decode_report(text);
+  } catch (const wire::BadMessage&) {
+    return std::nullopt;
+  }
+}
+
+bool same(const WorkerReport& a, const WorkerReport& b) {
+  const auto fields = [](const WorkerReport& r) {
+    return std::tie(r.machine, r.address, r.type, r.zone, r.spot, r.session, r.seq, r.token,
+                    r.notice);
+  };
+  return fields(a) == fields(b) &&
+         std::equal(a.tasks.begin(), a.tasks.end(), b.tasks.begin(), b.tasks.end(),
+                    [](const TaskReport& x, const TaskReport& y) {
+                      return x.task == y.task && x.attempt == y.attempt && x.state == y.state;
+                    });
+}
+
+TEST(ReportReader, ReadsEveryFieldAndIgnoresUnknownOnes) {
+  const auto r = wire::decode_report(kReport);
+  EXPECT_EQ(r.machine, "n-1");
+  EXPECT_EQ(r.address, "10.1.0.1:9000");
+  EXPECT_EQ(r.type, "g8");
+  EXPECT_EQ(r.zone, "a");
+  EXPECT_TRUE(r.spot);
+  EXPECT_EQ(r.session, 1U);
+  EXPECT_EQ(r.seq, 88U);
+  EXPECT_EQ(r.token, 41U);
+  EXPECT_EQ(r.notice, Seconds(7.5));
+  ASSERT_EQ(r.tasks.size(), 2U);
+  EXPECT_EQ(r.tasks[0].state, TaskState::Running);
+  EXPECT_EQ(r.tasks[0].attempt, 2U);
+  EXPECT_EQ(r.tasks[1].cause, ExitCause::Stopped);
+  EXPECT_TRUE(r.tasks[1].saved);
+}
+
+TEST(ReportReader, RefusesReportsThatLackAField) {
+  const auto good = Json::parse(kReport);
+  ASSERT_TRUE(read(good.dump()));
+  // Without its tasks a report would say that the machine is empty.
+  for (const char* key :
+       {"host", "endpoint", "flavor", "yard", "loaner", "tenure", "tick", "baton", "pieces"}) {
+    auto bad = good;
+    bad.erase(key);
+    EXPECT_FALSE(read(bad.dump())) << key;
+    bad[key] = nullptr;
+    EXPECT_FALSE(read(bad.dump())) << key << " null";
+    bad[key] = Json::object();
+    EXPECT_FALSE(read(bad.dump())) << key << " of the wrong type";
+  }
+  for (const char* key : {"piece", "try", "stage"}) {
+    auto bad = good;
+    bad["pieces"][1].erase(key);
+    EXPECT_FALSE(read(bad.dump())) << key;
+    bad["pieces"][1][key] = -1;
+    EXPECT_FALSE(read(bad.dump())) << key << " negative";
+  }
+  auto without_notice = good;
+  without_notice.erase("warningS");
+  EXPECT_TRUE(read(without_notice.dump()));
+}
+
+TEST(ReportReader, RefusesWhatIsNotOneJsonObject) {
+  const std::string good = kReport;
+  EXPECT_FALSE(read(""));
+  EXPECT_FALSE(read("[" + good + "]"));
+  EXPECT_FALSE(read(good + good));
+  EXPECT_FALSE(read(good + std::string(1, '\0') + "x"));
+  EXPECT_FALSE(read(good.substr(0, good.size() - 1)));
+  EXPECT_FALSE(read("\"text\""));
+  EXPECT_FALSE(read("null"));
+}
+
+// Within the largest body that the server takes. The depth costs no stack.
+TEST(ReportReader, RefusesDeepNestingAndHugeNumbers) {
+  const std::size_t largest = std::size_t{64} * 1024;
+  std::string deep = R"({"extra":)";
+  deep.append(largest - deep.size(), '[');
+  EXPECT_FALSE(read(deep));
+  std::string objects;
+  while (objects.size() < largest) objects += R"({"a":)";
+  EXPECT_FALSE(read(objects));
+  auto closed = R"({"extra":)" + std::string(20000, '[') + std::string(20000, ']') + "," +
+                std::string(kReport).substr(1);
+  EXPECT_TRUE(read(closed)) << "an unknown field, however deep";
+  auto good = Json::parse(kReport).dump();
+  const auto at = good.find("88");
+  EXPECT_FALSE(read(good.replace(at, 2, std::string(400, '9'))));
+  EXPECT_FALSE(read(good.replace(at, 400, "1e999")));
+}
+
+std::string mutated(std::string text, std::mt19937_64& rng) {
+  const auto below = [&rng](std::size_t n) {
+    return std::uniform_int_distribution<std::size_t>(0, n - 1)(rng);
+  };
+  const std::string alphabet = "{}[]\":,0123456789.-+eE\\utrfn \x01\x7f\xc3\xff";
+  const auto changes = 1 + below(4);
+  for (std::size_t i = 0; i < changes && !text.empty(); ++i) {
+    const auto at = below(text.size());
+    switch (below(5)) {
+      case 0:
+        text[at] = alphabet[below(alphabet.size())];
+        break;
+      case 1:
+        text.erase(at, 1 + below(8));
+        break;
+      case 2:
+        text.insert(at, 1, alphabet[below(alphabet.size())]);
+        break;
+      case 3:
+        text.resize(at);
+        break;
+      default:
+        text.insert(at, text.substr(below(text.size()), below(24)));
+        break;
+    }
+  }
+  return text;
+}
+
+// Where a field stands twice a tree keeps the last, whatever its type: such messages are left out.
+bool names_a_field_twice(const std::string& text) {
+  for (const char* key : {"\"host\"", "\"endpoint\"", "\"flavor\"", "\"yard\"", "\"loaner\"",
+                          "\"tenure\"", "\"tick\"", "\"baton\"", "\"warningS\"", "\"pieces\""}) {
+    const auto first = text.find(key);
+    if (first == std::string::npos) continue;
+    const auto second = text.find(key, first + 1);
+    const bool in_extra = std::string_view(key) == "\"host\"" && second != std::string::npos;
+    if (in_extra && text.find(key, second + 1) == std::string::npos) continue;
+    if (second != std::string::npos) return true;
+  }
+  return false;
+}
+
+TEST(ReportReader, AgreesWithATreeOnMutatedMessages) {
+  std::mt19937_64 rng(20261202);
+  std::size_t refused = 0, read_alike = 0;
+  for (int i = 0; i < 40000; ++i) {
+    const auto text = mutated(kReport, rng);
+    if (names_a_field_twice(text)) continue;
+    const auto expected = read_from_tree(text);
+    const auto actual = read(text);
+    ASSERT_EQ(expected.has_value(), actual.has_value()) << "message " << i << ": " << text;
+    if (!expected) {
+      ++refused;
+      continue;
+    }
+    ASSERT_TRUE(same(*expected, *actual)) << "message " << i << ": " << text;
+    ++read_alike;
+  }
+  EXPECT_GT(refused, 10000U);
+  EXPECT_GT(read_alike, 1000U);
+}
+
+}  // namespace
