--- a/src/fleet/commands.cpp
+++ b/src/fleet/commands.cpp
@@ -17,7 +17,7 @@
 std::vector<Command> Fleet::stops_for_ended(const WorkerReport& r) const {
   std::vector<Command> out;
   for (const auto& t : r.tasks) {
-    if (t.state != TaskState::Exited && jobs_.all().count(t.task.job) == 0) {
+    if (t.state != TaskState::Exited && jobs_.find(t.task.job) == nullptr) {
       out.push_back({Command::Op::Stop, t.task, t.attempt});
     }
   }
@@ -88,7 +88,9 @@
 
 std::vector<Command> Fleet::commands_for(Machine& m, std::uint64_t seq) {
   std::vector<Command> out, forgets;
+  bool any_planned = false;
   for (auto& [key, o] : m.occupants) {
+    any_planned = any_planned || o.phase == Occupant::Phase::Planned;
     if (o.phase == Occupant::Phase::Present) {
       if (auto stop = stop_for(m, o)) out.push_back(std::move(*stop));
     } else if (o.phase == Occupant::Phase::Exited && may_forget(o)) {
@@ -98,8 +100,10 @@
   }
   out.insert(out.end(), forgets.begin(), forgets.end());
   if (out.size() > kMostCommands) out.resize(kMostCommands);
-  drop_void_plans(m);
-  order_starts(m, seq, out);
+  if (any_planned) {
+    drop_void_plans(m);
+    order_starts(m, seq, out);
+  }
   return out;
 }
 
--- a/src/fleet/durable.cpp
+++ b/src/fleet/durable.cpp
@@ -55,20 +55,25 @@
 // Of the machines that a chunk of the roster names, those that are there still.
 std::set<std::string> Fleet::present_in_roster(std::size_t chunk) const {
   std::set<std::string> out;
-  for (const auto& id : roster_[chunk]) {
-    const Machine* m = machines_.find(id);
-    if (m != nullptr && !m->silent) out.insert(id);
-  }
+  std::copy_if(roster_[chunk].begin(), roster_[chunk].end(), std::inserter(out, out.end()),
+               [this](const std::string& id) { return present(id); });
   return out;
 }
 
+bool Fleet::present(const std::string& id) const {
+  const Machine* m = machines_.find(id);
+  return m != nullptr && !m->silent;
+}
+
 // The first chunk that names machines that have gone, or has room for new ones; a new one if need
 // be.
 std::optional<std::size_t> Fleet::roster_chunk_to_write(std::size_t names_per_chunk) {
   for (std::size_t chunk = 0; chunk < roster_.size(); ++chunk) {
-    const auto present = present_in_roster(chunk).size();
-    if (present < roster_[chunk].size()) return chunk;
-    if (!roster_waiting_.empty() && present < names_per_chunk) return chunk;
+    const auto& names = roster_[chunk];
+    if (!roster_waiting_.empty() && names.size() < names_per_chunk) return chunk;
+    const bool all_present = std::all_of(names.begin(), names.end(),
+                                         [this](const std::string& id) { return present(id); });
+    if (!all_present) return chunk;
   }
   if (roster_waiting_.empty()) return std::nullopt;
   roster_.emplace_back();
@@ -81,9 +86,13 @@
     const Machine* m = machines_.find(*it);
     it = m == nullptr || m->rostered ? roster_waiting_.erase(it) : std::next(it);
   }
+  if (!roster_stale_ && roster_waiting_.empty()) return;
   const std::size_t names_per_chunk = settings_.value_bytes / kRoomPerName;
   const auto chunk = roster_chunk_to_write(names_per_chunk);
-  if (!chunk) return;
+  if (!chunk) {
+    roster_stale_ = false;
+    return;
+  }
   auto names = present_in_roster(*chunk);
   // Left out before the write is sent: one that comes back gets no work until it is entered anew.
   for (const auto& id : roster_[*chunk]) {
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -89,8 +89,7 @@
       up, used.cpus, room.cpus, used.gpus, room.gpus, waiting, demand_.size());
 }
 
-bool Fleet::usable(const Machine& m) const {
-  const auto now = runtime_.now();
+bool Fleet::usable(const Machine& m, TimePoint now) const {
   return m.reported && !m.silent && !m.draining && !m.faulty && !m.goes_at &&
          !m.unresponsive_since && now >= m.no_room_until && now >= m.paused_until &&
          now - m.last_report < settings_.report_every * 5 / 2 + 1s;
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -71,7 +71,8 @@
   TimePoint heard_at() const { return heard_at_; }
   bool heard_any() const { return heard_any_; }
   // Whether the machine may be given new work.
-  bool usable(const Machine& machine) const;
+  bool usable(const Machine& machine) const { return usable(machine, runtime_.now()); }
+  bool usable(const Machine& machine, TimePoint now) const;
   const std::vector<Demand>& demand() const { return demand_; }
   const std::deque<Arrival>& arrivals() const { return arrivals_; }
   const Machines& machines() const { return machines_; }
@@ -123,6 +124,7 @@
   void release_plans();
   void write_own(wire::Txn txn, store::Urgency urgency, std::function<void(bool)> done);
   void read_versions(const std::vector<std::string>& keys, const std::function<void()>& done);
+  bool present(const std::string& machine) const;
   std::set<std::string> present_in_roster(std::size_t chunk) const;
   std::optional<std::size_t> roster_chunk_to_write(std::size_t names_per_chunk);
   void roster_written(std::size_t chunk, const std::set<std::string>& names,
@@ -207,6 +209,10 @@
   std::vector<std::set<std::string>> roster_;  // as durable
   std::set<std::string> roster_waiting_;
   bool roster_writing_ = false;
+  // Whether the durable roster may name machines that have gone.
+  bool roster_stale_ = false;
+  // On the roster, and neither heard under this token nor known to be without tasks.
+  std::set<std::string> awaited_;
   sched::LossRates losses_;
   mutable std::map<std::pair<std::string, bool>, std::size_t> sizes_;
   mutable TimePoint sizes_at_{};
--- a/src/fleet/jobs.cpp
+++ b/src/fleet/jobs.cpp
@@ -5,19 +5,27 @@
 namespace asterstair::fleet {
 
 Job* Jobs::find(const std::string& id) {
-  const auto it = all_.find(id);
-  return it == all_.end() ? nullptr : &it->second;
+  const auto it = by_id_.find(id);
+  return it == by_id_.end() ? nullptr : it->second;
 }
 
 const Job* Jobs::find(const std::string& id) const {
+  const auto it = by_id_.find(id);
+  return it == by_id_.end() ? nullptr : it->second;
+}
+
+void Jobs::erase(const std::string& id) {
   const auto it = all_.find(id);
-  return it == all_.end() ? nullptr : &it->second;
+  if (it == all_.end()) return;
+  by_id_.erase(it->first);
+  all_.erase(it);
 }
 
 Job& Jobs::add(JobSpec spec, std::uint64_t version, WallTime accepted) {
   const auto [it, added] = all_.try_emplace(spec.id);
   Job& job = it->second;
   if (!added) return job;
+  by_id_.emplace(it->first, &job);
   job.version = version;
   job.accepted = accepted;
   job.done.assign(spec.tasks, false);
--- a/src/fleet/jobs.hpp
+++ b/src/fleet/jobs.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -50,7 +51,7 @@
   const Job* find(const std::string& id) const;
   // Adds or updates a live job. Returns it.
   Job& add(JobSpec spec, std::uint64_t version, WallTime accepted);
-  void erase(const std::string& id) { all_.erase(id); }
+  void erase(const std::string& id);
   std::map<std::string, Job>& all() { return all_; }
   const std::map<std::string, Job>& all() const { return all_; }
 
@@ -66,6 +67,8 @@
 
  private:
   std::map<std::string, Job> all_;
+  // The same by hash: every task of every report is looked up.
+  std::unordered_map<std::string_view, Job*> by_id_;
 };
 
 }  // namespace asterstair::fleet
--- a/src/fleet/loading.cpp
+++ b/src/fleet/loading.cpp
@@ -115,11 +115,13 @@
         Machine& m = f->machines_.at(id);
         m.id = id;
         m.rostered = true;
+        if (!m.reported && !m.silent) f->awaited_.insert(id);
         // No earlier leader answers after that; its answers renewed no later.
         if (m.last_answered == TimePoint{}) m.last_answered = f->earlier_leaders_end_;
       }
       f->roster_.push_back(std::move(chunk));
     }
+    f->roster_stale_ = true;
     f->loaded_ = true;
     log::info("term {}: {} live jobs, {} machines to hear from", f->token_, f->jobs_.all().size(),
               f->machines_.all().size());
@@ -213,12 +215,7 @@
 }
 
 void Fleet::check_settled() {
-  if (settled_ || !loaded_) return;
-  std::size_t missing = 0;
-  for (const auto& [id, m] : machines_.all()) {
-    if (m.rostered && !m.reported && !m.silent) ++missing;
-  }
-  if (missing > 0) return;
+  if (settled_ || !loaded_ || !awaited_.empty()) return;
   settled_ = true;
   for (auto& [id, job] : jobs_.all()) {
     if (job.begun_before) Jobs::rebuild_waiting(job);
--- a/src/fleet/machines.cpp
+++ b/src/fleet/machines.cpp
@@ -41,6 +41,7 @@
 }
 
 void Machine::use_image(const JobSpec& job, double cache_gb) {
+  if (!image_use.empty() && image_use.back().first == job.image) return;
   const auto it = std::find_if(image_use.begin(), image_use.end(),
                                [&](const auto& i) { return i.first == job.image; });
   if (it != image_use.end()) {
--- a/src/fleet/moving.cpp
+++ b/src/fleet/moving.cpp
@@ -153,6 +153,8 @@
   handle(*m, events);
   refresh(*m);
   machines_.erase(id);
+  roster_stale_ = true;
+  awaited_.erase(id);
   // Names come in the order of the rentals: the oldest are the least likely to be heard of again.
   gone_.insert(id);
   if (gone_.size() > kMostGone) gone_.erase(gone_.begin());
--- a/src/fleet/reports.cpp
+++ b/src/fleet/reports.cpp
@@ -80,6 +80,7 @@
   if (machines_.apply(r, now, cache_gb(r.type), events) == Machines::Order::Late) {
     return {200, wire::encode_commands(token_, stops_for_ended(r))};
   }
+  awaited_.erase(m.id);
   if (!m.rostered) roster_waiting_.insert(m.id);
   // A cut may cost sessions, of which all is heard at once when it ends. Losing one after the other
   // while reports arrive shows that answers do not.
@@ -314,6 +315,8 @@
   for (auto& [id, m] : machines_.all()) {
     if (m.silent || now - m.last_answered <= out) continue;
     m.silent = true;
+    roster_stale_ = true;
+    awaited_.erase(id);
     m.first_answered.reset();
     // Reports made under an earlier token count as well: their answers renewed no later.
     m.first_session = std::max(m.session, m.heard.first) + 1;
@@ -327,8 +330,9 @@
 
 // Plans for machines that have fallen silent, or were given up, go to others.
 void Fleet::release_plans() {
+  const auto now = runtime_.now();
   for (auto& [id, m] : machines_.all()) {
-    if (!m.occupants.empty() && !usable(m)) drop_void_plans(m);
+    if (!m.occupants.empty() && !usable(m, now)) drop_void_plans(m);
   }
 }
 
--- a/src/fleet/snapshot.cpp
+++ b/src/fleet/snapshot.cpp
@@ -31,7 +31,8 @@
 // take is added to `unknown`.
 void Fleet::add_machines(sched::Snapshot& s, InZone& in_zone, sched::Resources& unknown) {
   s.machines.reserve(machines_.all().size());
-  std::map<std::pair<std::string, bool>, double> rates;
+  std::map<std::pair<std::string_view, bool>, double> rates;
+  const auto now = runtime_.now();
   for (auto& [id, m] : machines_.all()) {
     refresh(m);
     for (const auto& [job, n] : m.holding.zoned) in_zone[job->id][m.zone] += n;
@@ -41,7 +42,7 @@
       unknown.add(m.holding.used, -1);
       continue;
     }
-    if (type == nullptr || !usable(m)) continue;
+    if (type == nullptr || !usable(m, now)) continue;
     const auto [rate, added] = rates.try_emplace({m.zone, m.spot}, 0.0);
     if (added) rate->second = loss_rate(m);
     sched::PlanMachine p;
