Waiting tasks are kept as runs; jobs count their running tasks as they go

Cause: counts told to siblings went through every task of every machine each second; an array of 100,000 waiting tasks took 400 KB and a search through all of it for each task that was adopted.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -152,19 +152,9 @@
 }
 
 std::vector<JobCounts> Fleet::counts() const {
-  std::unordered_map<std::string, std::uint32_t> running;
-  for (const auto& [id, m] : machines_.all()) {
-    for (const auto& [key, o] : m.occupants) {
-      if (o.phase == Occupant::Phase::Present && o.state == TaskState::Running) {
-        ++running[key.task.job];
-      }
-    }
-  }
   std::vector<JobCounts> out;
   for (const auto& [id, job] : jobs_.all()) {
-    const auto it = running.find(id);
-    const auto n = it == running.end() ? 0 : it->second;
-    if (job.done_count > 0 || n > 0) out.push_back({id, job.done_count, n});
+    if (job.done_count > 0 || job.running > 0) out.push_back({id, job.done_count, job.running});
   }
   return out;
 }
--- a/src/fleet/jobs.cpp
+++ b/src/fleet/jobs.cpp
@@ -1,7 +1,5 @@
 #include "fleet/jobs.hpp"
 
-#include <algorithm>
-
 namespace asterstair::fleet {
 
 Job* Jobs::find(const std::string& id) {
@@ -41,16 +39,21 @@
   if (it != job.placed.end()) {
     return it->second.machine == placed.machine && it->second.attempt == placed.attempt;
   }
-  const auto w = std::find(job.waiting.begin(), job.waiting.end(), index);
-  if (w != job.waiting.end()) job.waiting.erase(w);
+  job.waiting.erase(index);
   job.placed.emplace(index, std::move(placed));
   return true;
 }
 
-std::uint32_t Jobs::take_waiting(Job& job) {
-  const auto index = job.waiting.back();
-  job.waiting.pop_back();
-  return index;
+std::uint32_t Jobs::take_waiting(Job& job) { return job.waiting.take_first(); }
+
+void Jobs::set_running(Job& job, std::uint32_t index, const Placed& placed) {
+  const auto it = job.placed.find(index);
+  if (it == job.placed.end() || it->second.running || it->second.machine != placed.machine ||
+      it->second.attempt != placed.attempt) {
+    return;
+  }
+  it->second.running = true;
+  ++job.running;
 }
 
 void Jobs::unplace(Job& job, std::uint32_t index, const Placed& placed) {
@@ -59,8 +62,9 @@
       it->second.attempt != placed.attempt) {
     return;
   }
+  if (it->second.running) --job.running;
   job.placed.erase(it);
-  if (!job.done[index]) job.waiting.push_back(index);
+  if (!job.done[index]) job.waiting.insert(index);
 }
 
 bool Jobs::set_done(Job& job, std::uint32_t index, std::size_t chunk) {
@@ -68,17 +72,14 @@
   job.done[index] = true;
   ++job.done_count;
   job.dirty.insert(chunk);
-  if (job.placed.count(index) == 0) {
-    const auto w = std::find(job.waiting.begin(), job.waiting.end(), index);
-    if (w != job.waiting.end()) job.waiting.erase(w);
-  }
+  job.waiting.erase(index);
   return true;
 }
 
 void Jobs::rebuild_waiting(Job& job) {
   job.waiting.clear();
-  for (std::uint32_t i = job.spec->tasks; i-- > 0;) {
-    if (!job.done[i] && job.placed.count(i) == 0) job.waiting.push_back(i);
+  for (std::uint32_t i = 0; i < job.spec->tasks; ++i) {
+    if (!job.done[i] && job.placed.count(i) == 0) job.waiting.insert(i);
   }
 }
 
--- a/src/fleet/jobs.hpp
+++ b/src/fleet/jobs.hpp
@@ -10,12 +10,14 @@
 
 #include "base/model.hpp"
 #include "base/time.hpp"
+#include "fleet/task_set.hpp"
 
 namespace asterstair::fleet {
 
 struct Placed {
   std::string machine;
   std::uint64_t attempt = 0;
+  bool running = false;  // has been seen running
 };
 
 struct Job {
@@ -24,7 +26,8 @@
   WallTime accepted{};
   std::vector<bool> done, durable;
   std::uint32_t done_count = 0;
-  std::vector<std::uint32_t> waiting;  // neither done nor placed
+  TaskSet waiting;            // neither done nor placed
+  std::uint32_t running = 0;  // of those placed
   std::unordered_map<std::uint32_t, Placed> placed;
   std::unordered_map<std::uint32_t, double> saved_s;  // progress known to be saved, by task
   std::set<std::size_t> dirty;                        // chunks not yet durable
@@ -59,6 +62,8 @@
   static bool place(Job& job, std::uint32_t index, Placed placed);
   // Takes a waiting task.
   static std::uint32_t take_waiting(Job& job);
+  // The attempt has been seen running.
+  static void set_running(Job& job, std::uint32_t index, const Placed& placed);
   // The attempt is known gone; the task waits again unless it is done.
   static void unplace(Job& job, std::uint32_t index, const Placed& placed);
   static bool set_done(Job& job, std::uint32_t index, std::size_t chunk);
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -90,8 +90,8 @@
   for (const auto& unplaced : plan.unplaced) {
     const auto& j = s.jobs[unplaced.first];
     const Job& job = *planned_jobs_[unplaced.first];
-    const auto waiting = static_cast<std::uint32_t>(job.waiting.size());
-    const auto tasks = std::min(waiting, sched::team_room(s.teams.at(j.job->team), *j.job));
+    const auto tasks =
+        std::min(job.waiting.size(), sched::team_room(s.teams.at(j.job->team), *j.job));
     if (tasks < 1) continue;
     demand_.push_back({job.spec, tasks, j.remaining, j.slack, urgent && j.guaranteed});
   }
--- a/src/fleet/reports.cpp
+++ b/src/fleet/reports.cpp
@@ -167,7 +167,10 @@
         break;
       }
       case TaskEvent::Kind::Running:
-        if (Job* job = jobs_.find(o.task.job); job != nullptr && !job->ran) note_running(*job);
+        if (Job* job = jobs_.find(o.task.job); job != nullptr) {
+          Jobs::set_running(*job, o.task.index, {m.id, o.attempt});
+          if (!job->ran) note_running(*job);
+        }
         break;
       case TaskEvent::Kind::Adopted: {
         Occupant& here = m.occupants.at({o.attempt, o.task});
--- a/src/fleet/snapshot.cpp
+++ b/src/fleet/snapshot.cpp
@@ -121,7 +121,7 @@
   sched::PlanJob p;
   p.ref = planned_jobs_.size();
   p.job = job.spec.get();
-  p.waiting = static_cast<std::uint32_t>(job.waiting.size());
+  p.waiting = job.waiting.size();
   p.last_zone = job.last_zone;
   p.remaining = remaining_of(job);
   p.work = p.remaining * static_cast<double>(job.unfinished());
--- /dev/null
+++ b/src/fleet/task_set.cpp
@@ -0,0 +1,57 @@
+#include "fleet/task_set.hpp"
+
+#include <iterator>
+
+namespace asterstair::fleet {
+
+// The run that holds the task; the end if none does.
+TaskSet::Runs::const_iterator TaskSet::run_of(std::uint32_t task) const {
+  const auto next = runs_.upper_bound(task);
+  if (next == runs_.begin()) return runs_.end();
+  const auto run = std::prev(next);
+  return run->second >= task ? run : runs_.end();
+}
+
+bool TaskSet::contains(std::uint32_t task) const { return run_of(task) != runs_.end(); }
+
+void TaskSet::clear() {
+  runs_.clear();
+  size_ = 0;
+}
+
+void TaskSet::insert(std::uint32_t task) {
+  if (contains(task)) return;
+  ++size_;
+  auto first = task, last = task;
+  const auto next = runs_.upper_bound(task);
+  if (next != runs_.begin()) {
+    const auto previous = std::prev(next);
+    if (previous->second + 1 == task) {
+      first = previous->first;
+      runs_.erase(previous);
+    }
+  }
+  if (next != runs_.end() && next->first == task + 1) {
+    last = next->second;
+    runs_.erase(next);
+  }
+  runs_[first] = last;
+}
+
+void TaskSet::erase(std::uint32_t task) {
+  const auto run = run_of(task);
+  if (run == runs_.end()) return;
+  --size_;
+  const auto [first, last] = *run;
+  runs_.erase(run);
+  if (first < task) runs_[first] = task - 1;
+  if (task < last) runs_[task + 1] = last;
+}
+
+std::uint32_t TaskSet::take_first() {
+  const auto first = runs_.begin()->first;
+  erase(first);
+  return first;
+}
+
+}  // namespace asterstair::fleet
