--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -9,8 +9,10 @@
 namespace asterstair {
 namespace {
 
+constexpr double kBytesPerMegabyte = 1024.0 * 1024.0;
 constexpr double kLargestNumber = 1e9;  // beyond any machine, rate or time that is meant
 constexpr std::size_t kDefaultConnections = 1024;
+constexpr std::size_t kDefaultMemory = std::size_t{64} * 1024 * 1024;
 // When a leader falls silent the workers should have found its successor before their leases run
 // out. Where leases are too short for that in any case, a long grant outlasts more outages, and a
 // majority replaces the leader sooner.
@@ -154,12 +156,17 @@
 
 void read_limits(const toml::table& cluster, Settings& s) {
   s.max_connections = kDefaultConnections;
+  s.memory_bytes = kDefaultMemory;
   const auto* limits = cluster["machine_limits"].as_table();
   if (limits == nullptr) return;
   const std::string where = "cluster.machine_limits.";
   if (limits->contains("max_connections")) {
     s.max_connections = static_cast<std::size_t>(number(*limits, where, "max_connections", 16));
   }
+  if (limits->contains("ram_mb")) {
+    s.memory_bytes =
+        static_cast<std::size_t>(number(*limits, where, "ram_mb", 1) * kBytesPerMegabyte);
+  }
   if (limits->contains("cpu_share")) {
     s.cpu_share = std::min(1.0, number(*limits, where, "cpu_share", 0.001));
   }
@@ -167,6 +174,19 @@
 
 }  // namespace
 
+std::vector<std::string> limits_too_small(const Settings& s) {
+  std::vector<std::string> out;
+  if (s.memory_bytes < kLeastMemory) {
+    out.push_back("cluster.machine_limits.ram_mb is less than a node needs, " +
+                  std::to_string(kLeastMemory / static_cast<std::size_t>(kBytesPerMegabyte)));
+  }
+  if (s.cpu_share < kLeastCpuShare) {
+    out.push_back("cluster.machine_limits.cpu_share is less than a node needs, " +
+                  std::to_string(kLeastCpuShare));
+  }
+  return out;
+}
+
 Settings parse_settings(std::string_view toml_text) {
   const toml::table root = parse_toml(toml_text);
   Settings s;
--- a/src/base/settings.hpp
+++ b/src/base/settings.hpp
@@ -40,6 +40,7 @@
   Duration list_lag{};
   std::size_t max_connections = 0;
   double cpu_share = 1;  // of one core
+  std::size_t memory_bytes = 0;
 
   std::size_t nodes() const { return siblings.size() + 1; }
 };
@@ -49,6 +50,14 @@
   using std::runtime_error::runtime_error;
 };
 
+// What a node with a small fleet needs at the least; with less it may end for memory, or be too
+// slow to keep its leadership.
+inline constexpr std::size_t kLeastMemory = std::size_t{16} * 1024 * 1024;
+inline constexpr double kLeastCpuShare = 0.01;
+
+// The limits of the settings that are too small to work in, one line each.
+std::vector<std::string> limits_too_small(const Settings& settings);
+
 Settings parse_settings(std::string_view toml_text);
 Settings load_settings(const std::string& path);
 
--- a/src/fleet/gangs.cpp
+++ b/src/fleet/gangs.cpp
@@ -12,9 +12,11 @@
 constexpr Seconds kNoNotice{3600};
 constexpr Seconds kRestartTime{1};  // of a task that finds its image
 constexpr auto kDirectTimeout = 2s;
-// Direct commands at a time, and waiting: a job may be on hundreds of machines, some of them out of
-// hearing, and the connections are the state service's too.
-constexpr std::size_t kDirectsInFlight = 24, kMostDirects = 2000;
+// Direct commands at a time: a job may be on hundreds of machines, some of them out of hearing, and
+// the connections are the state service's too, so that they take one socket in so many.
+constexpr std::size_t kLeastDirectsInFlight = 24, kSocketsPerDirect = 32;
+// Direct commands that wait: so many for each machine.
+constexpr std::size_t kDirectsPerMachine = 4;
 
 }  // namespace
 
@@ -42,7 +44,8 @@
   std::map<std::string, std::vector<Command>> by_machine;
   for (const auto& [machine, c] : stops) by_machine[machine].push_back(c);
   for (auto& [id, commands] : by_machine) {
-    if (directs_.size() >= kMostDirects) break;  // the next answers to reports say the same
+    // The next answers to reports say the same.
+    if (directs_.size() >= kDirectsPerMachine * machines_.all().size()) break;
     directs_.push_back(
         {id, std::move(commands), runtime_.now() + settings_.report_every, read_answers});
   }
@@ -50,7 +53,9 @@
 }
 
 void Fleet::pump_direct() {
-  while (!directs_.empty() && directs_in_flight_ < kDirectsInFlight && election_.entitled()) {
+  const auto most_in_flight =
+      std::max(kLeastDirectsInFlight, settings_.max_connections / kSocketsPerDirect);
+  while (!directs_.empty() && directs_in_flight_ < most_in_flight && election_.entitled()) {
     const Direct d = std::move(directs_.front());
     directs_.pop_front();
     const Machine* m = machines_.find(d.machine);
--- a/src/fleet/loading.cpp
+++ b/src/fleet/loading.cpp
@@ -10,7 +10,9 @@
 namespace asterstair::fleet {
 namespace {
 
-constexpr std::size_t kMostCancelled = 4000;
+// Jobs confirmed as cancelled that the watch may yet tell of as live; it is seconds late at most
+// while anything is started.
+constexpr std::size_t kMostCancelled = 20000;
 
 }  // namespace
 
--- a/src/fleet/moving.cpp
+++ b/src/fleet/moving.cpp
@@ -13,7 +13,9 @@
 
 constexpr Seconds kEndsSoon{15};
 constexpr auto kMoveEvery = 30s;
-constexpr std::size_t kMostGone = 5000;
+// Machines known to be gone; their names are not used again, and late copies of their reports come
+// within minutes.
+constexpr std::size_t kMostGone = 20000;
 constexpr double kMoveWorth = 4;
 // Machines at a time, and of a large fleet one in so many: their tasks all restart.
 constexpr std::size_t kMostEmptied = 6, kEmptiedOf = 30;
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -6,7 +6,7 @@
 namespace asterstair::frontend {
 namespace {
 
-constexpr std::size_t kMostFinals = 4000;
+constexpr std::size_t kMostFinals = 8000;  // final records kept in memory, some 250 bytes each
 constexpr int kCancelTries = 4;
 constexpr Duration kSecondRead = 250ms;  // at the least; users wait 2 s for both
 // Users wait at least a second before they ask again, and longer if told.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -27,6 +27,7 @@
   server.listen(settings.api_address);
   runtime.peers().listen([&](const std::string& message) { node.peer_message(message); });
   log::info("started in zone {}", settings.zone);
+  for (const auto& limit : limits_too_small(settings)) log::error("{}", limit);
   node.start();
   runtime.run();
 }
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -6,12 +6,12 @@
 
 #include "base/log.hpp"
 #include "net/address.hpp"
+#include "wire/peer.hpp"
 
 namespace asterstair::net {
 namespace {
 
-constexpr std::size_t kLargestMessage = std::size_t{256} * 1024;
-constexpr std::size_t kMostQueued = std::size_t{512} * 1024;
+constexpr std::size_t kMostQueued = 2 * wire::kLargestPeerMessage;
 constexpr std::size_t kMostIncoming = 16;
 constexpr auto kReconnectAfter = 500ms;
 constexpr auto kStuckAfter = 3s;
@@ -107,7 +107,7 @@
           std::uint32_t size = 0;
           std::memcpy(&size, k->data.data(), 4);
           size = ntohl(size);
-          if (size > kLargestMessage) {
+          if (size > wire::kLargestPeerMessage) {
             close(k);
             return;
           }
@@ -163,7 +163,7 @@
 
 void PeerLink::send(const std::string& node, const std::string& message) {
   const auto it = outgoing_.find(node);
-  if (it == outgoing_.end() || message.size() > kLargestMessage) return;
+  if (it == outgoing_.end() || message.size() > wire::kLargestPeerMessage) return;
   Outgoing& out = *it->second;
   const auto now = Clock::now();
   if (out.socket != nullptr && (!out.socket->connected || out.queued > 0) &&
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -18,7 +18,8 @@
 constexpr auto kTypesEvery = 60s, kTypesRetry = 2s;
 constexpr auto kProbeEvery = 1s;
 constexpr auto kStoreLost = 4s;
-constexpr std::size_t kMostCounts = 2000;
+// Of a message between nodes, for the counts that users are shown.
+constexpr std::size_t kCountsBytes = wire::kLargestPeerMessage / 2;
 // A sibling that the state service answers says so in a hint made this long after a failure here:
 // it asks every kProbeEvery at the least, and hints come every kHintsEvery.
 constexpr auto kSiblingKnows = 2200ms;
@@ -128,10 +129,16 @@
   hint.cancelled = cancellations_.jobs(runtime_.now());
   if (fleet_) {
     std::unordered_map<std::string, frontend::Counts> counts;
+    std::size_t bytes = 0;
     for (const auto& c : fleet_->counts()) {
-      if (hint.counts.size() >= kMostCounts) break;
-      hint.counts.push_back({c.job, c.done, c.running});
       counts[c.job] = {c.done, c.running};
+      bytes += c.job.size() + wire::kPeerEntryOverhead;
+      // Counts serve only for display: the siblings show the others as queued.
+      if (bytes <= kCountsBytes) hint.counts.push_back({c.job, c.done, c.running});
+    }
+    if (bytes > kCountsBytes && !counts_cut_told_) {
+      counts_cut_told_ = true;
+      log::info("more jobs run than the siblings can be told the counts of");
     }
     frontend_.set_counts(std::move(counts));
   }
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -59,6 +59,7 @@
   std::uint64_t hinted_token_ = 0;
   TimePoint report_heard_{};
   bool types_fresh_ = false;
+  bool counts_cut_told_ = false;
 };
 
 }  // namespace asterstair
--- a/src/node/recent_cancellations.hpp
+++ b/src/node/recent_cancellations.hpp
@@ -21,7 +21,10 @@
     TimePoint confirmed;
     std::string job;
   };
+  void drop_oldest();
+
   std::deque<Entry> entries_;
+  std::size_t bytes_ = 0;  // that they take in a message
 };
 
 }  // namespace asterstair
--- a/src/store/read_queue.cpp
+++ b/src/store/read_queue.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr auto kTimeout = 900ms;
-constexpr std::size_t kMostWaiting = 400, kMostInFlight = 16;
+constexpr std::size_t kMostInFlight = 16;
 constexpr int kMostTries = 3;
 constexpr auto kSoonest = 2ms;
 // So many reads of live jobs waiting are answered by one list of these, now and then.
@@ -50,7 +50,7 @@
     shared->second->done.push_back(std::move(done));
     return;
   }
-  if (reads_.size() >= kMostWaiting) {
+  if (reads_.size() >= most_waiting_) {
     done({});
     return;
   }
--- a/src/store/read_queue.hpp
+++ b/src/store/read_queue.hpp
@@ -16,7 +16,8 @@
 
 class ReadQueue {
  public:
-  explicit ReadQueue(Link& link) : link_(link) {}
+  // Somebody waits on a connection for each read: there need never be more of them than sockets.
+  ReadQueue(Link& link, std::size_t most_waiting) : link_(link), most_waiting_(most_waiting) {}
 
   // Given up, as Unavailable, after `patience`.
   void get(const std::string& key, std::function<void(ReadResult)> done, Duration patience);
@@ -42,6 +43,7 @@
   void read_live_batched();
 
   Link& link_;
+  std::size_t most_waiting_;
   std::deque<Read> reads_;
   std::map<std::string, Read*> by_key_;  // deque entries keep their addresses at either end
   std::size_t in_flight_ = 0;
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -14,6 +14,8 @@
 constexpr auto kListTimeout = 3s;
 constexpr std::size_t kPageItems = 200;
 constexpr int kListRefusalsBorne = 20;
+// Of the memory, for the writes of each urgency that wait.
+constexpr std::size_t kWritesPartOfMemory = 64;
 constexpr auto kWatchExtra = 3s;  // beyond the time that a watch waits
 
 Budget request_budget(const Settings& s) {
@@ -30,8 +32,8 @@
 
 Store::Store(Runtime& runtime, const Settings& s)
     : link_(runtime, s.state_address, request_budget(s)),
-      reads_(link_),
-      writes_(link_, change_budget(s), s.txn_ops) {}
+      reads_(link_, s.max_connections),
+      writes_(link_, change_budget(s), s.txn_ops, s.memory_bytes / kWritesPartOfMemory) {}
 
 void Store::get_now(const std::string& key, std::function<void(ReadResult)> done) {
   link_.send_now(wire::get_request(key), kGrantTimeout,
--- a/src/store/write_queue.cpp
+++ b/src/store/write_queue.cpp
@@ -5,13 +5,17 @@
 #include <memory>
 #include <set>
 
+#include "base/log.hpp"
+
 namespace asterstair::store {
 namespace {
 
 constexpr auto kTimeout = 1500ms;
 // Users wait 5 s for the answer to a submission: it is given up before that.
 constexpr auto kPatience = 3s;
-constexpr std::size_t kMostWaiting = 2000, kMostInFlight = 4;
+constexpr std::size_t kMostInFlight = 4;
+// Of a waiting write, beside its keys and values: the callback and the containers.
+constexpr std::size_t kWriteOverhead = 512;
 constexpr std::size_t kLargestTxn = std::size_t{60} * 1024;
 constexpr std::size_t kConditionsPerOp = 4;  // PROTOCOL
 constexpr std::size_t kConditionOverhead = 40;
@@ -71,16 +75,20 @@
 
 void WriteQueue::write(wire::Txn txn, Urgency urgency, std::function<void(WriteResult)> done) {
   auto& queue = queues_.at(static_cast<std::size_t>(urgency));
-  if (queue.size() >= kMostWaiting) {
+  Write w;
+  w.size = size_of(txn);
+  if (queue.bytes + w.size + kWriteOverhead > most_bytes_) {
+    // Asked for again by whoever needs it: a user's request, or the loops of the leader.
+    if (!full_told_) log::error("more writes wait for the state service than memory is given for");
+    full_told_ = true;
     done({});
     return;
   }
-  Write w;
-  w.size = size_of(txn);
   w.txn = std::move(txn);
   w.give_up = link_.now() + kPatience;
   w.done = std::move(done);
-  queue.push_back(std::move(w));
+  queue.bytes += w.size + kWriteOverhead;
+  queue.writes.push_back(std::move(w));
   // Writes asked for in the same turn of the loop travel together.
   wake(Duration::zero());
 }
@@ -106,18 +114,16 @@
 // Whether less urgent ones may go now.
 bool WriteQueue::pump(Queue& queue) {
   const auto now = link_.now();
-  while (!queue.empty()) {
-    if (queue.front().give_up <= now) {
-      const Write w = std::move(queue.front());
-      queue.pop_front();
-      w.done({});
+  while (!queue.writes.empty()) {
+    if (queue.writes.front().give_up <= now) {
+      take_first(queue).done({});
       continue;
     }
     if (in_flight_ >= kMostInFlight) return false;
-    const auto taken = static_cast<std::ptrdiff_t>(joinable(queue));
+    const auto taken = joinable(queue);
     double ops = 0;
-    for (auto it = queue.begin(); it != queue.begin() + taken; ++it) {
-      ops += static_cast<double>(it->txn.changes.size());
+    for (std::size_t i = 0; i < taken; ++i) {
+      ops += static_cast<double>(queue.writes[i].txn.changes.size());
     }
     const auto wait = std::max(link_.requests.wait_for(1, now), changes_.wait_for(ops, now));
     if (wait > Duration::zero()) {
@@ -126,9 +132,8 @@
     }
     link_.requests.take(1, now);
     changes_.take(ops, now);
-    Batch batch(std::make_move_iterator(queue.begin()),
-                std::make_move_iterator(queue.begin() + taken));
-    queue.erase(queue.begin(), queue.begin() + taken);
+    Batch batch;
+    for (std::size_t i = 0; i < taken; ++i) batch.push_back(take_first(queue));
     send(queue, std::move(batch));
   }
   return true;
@@ -137,10 +142,12 @@
 // How many writes at the head of the queue go out as one transaction.
 std::size_t WriteQueue::joinable(const Queue& queue) const {
   Joined joined(txn_ops_);
-  joined.add(queue.front());
+  const auto& writes = queue.writes;
+  joined.add(writes.front());
   std::size_t n = 1;
-  while (n < queue.size() && !queue.front().alone && !queue[n].alone && joined.accepts(queue[n])) {
-    joined.add(queue[n]);
+  while (n < writes.size() && !writes.front().alone && !writes[n].alone &&
+         joined.accepts(writes[n])) {
+    joined.add(writes[n]);
     ++n;
   }
   return n;
@@ -202,9 +209,17 @@
   for (const auto& w : failed_writes) w.done({WriteOutcome::Conflict, 0});
 }
 
+WriteQueue::Write WriteQueue::take_first(Queue& queue) {
+  Write out = std::move(queue.writes.front());
+  queue.writes.pop_front();
+  queue.bytes -= out.size + kWriteOverhead;
+  return out;
+}
+
 void WriteQueue::put_back(Queue& queue, Batch& batch) {
-  queue.insert(queue.begin(), std::make_move_iterator(batch.begin()),
-               std::make_move_iterator(batch.end()));
+  for (const auto& w : batch) queue.bytes += w.size + kWriteOverhead;
+  queue.writes.insert(queue.writes.begin(), std::make_move_iterator(batch.begin()),
+                      std::make_move_iterator(batch.end()));
 }
 
 }  // namespace asterstair::store
--- a/src/store/write_queue.hpp
+++ b/src/store/write_queue.hpp
@@ -18,8 +18,9 @@
 
 class WriteQueue {
  public:
-  WriteQueue(Link& link, Budget changes, std::size_t txn_ops)
-      : link_(link), changes_(changes), txn_ops_(txn_ops) {}
+  // `most_bytes` bounds what waits, for each urgency apart.
+  WriteQueue(Link& link, Budget changes, std::size_t txn_ops, std::size_t most_bytes)
+      : link_(link), changes_(changes), txn_ops_(txn_ops), most_bytes_(most_bytes) {}
 
   // Given up, as NotDone, if it cannot be sent for long.
   void write(wire::Txn txn, Urgency urgency, std::function<void(WriteResult)> done);
@@ -32,7 +33,10 @@
     bool alone = false;  // not to be joined with others
     std::function<void(WriteResult)> done;
   };
-  using Queue = std::deque<Write>;
+  struct Queue {
+    std::deque<Write> writes;
+    std::size_t bytes = 0;
+  };
   using Batch = std::vector<Write>;
   class Joined;
 
@@ -43,11 +47,13 @@
   void send(Queue& queue, Batch batch);
   void answered(Queue& queue, Batch& batch, const HttpResponse& response);
   void on_conflict(Queue& queue, Batch& batch, const HttpResponse& response);
+  static Write take_first(Queue& queue);
   static void put_back(Queue& queue, Batch& batch);
 
   Link& link_;
   Budget changes_;
-  std::size_t txn_ops_;
+  std::size_t txn_ops_, most_bytes_;
+  bool full_told_ = false;
   std::array<Queue, 4> queues_;  // by urgency
   std::size_t in_flight_ = 0;
   std::optional<TimePoint> wake_at_;
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -8,6 +8,11 @@
 
 namespace asterstair::wire {
 
+// Longer messages are not sent.
+inline constexpr std::size_t kLargestPeerMessage = std::size_t{256} * 1024;
+// What one entry takes in a message beside its job's name, at the most.
+inline constexpr std::size_t kPeerEntryOverhead = 16;
+
 struct PeerCounts {
   std::string job;
   std::uint32_t done = 0, running = 0;
