--- a/tests/sim/fleet.hpp
+++ b/tests/sim/fleet.hpp
@@ -575,10 +575,29 @@
       // A list lags by some seconds.
       lists_.push_back({world_.t(), list});
       while (lists_.size() > 1 && lists_[1].first < world_.t() - 5) lists_.erase(lists_.begin());
-      respond({200, Json{{"hosts", lists_.front().second}, {"hasNext", false}}.dump()});
+      respond({200, page(lists_.front().second, r.target).dump()});
     }
   }
 
+  // The machines after the one that the request names, no more than it asks for.
+  static Json page(const Json& list, const std::string& target) {
+    const auto parameter = [&target](const std::string& name) {
+      const auto at = target.find(name + "=");
+      if (at == std::string::npos) return std::string();
+      const auto begin = at + name.size() + 1;
+      return target.substr(begin, target.find('&', begin) - begin);
+    };
+    const auto since = parameter("since"), limit = parameter("limit");
+    const std::size_t most = limit.empty() ? 500 : std::min<std::size_t>(500, std::stoul(limit));
+    Json hosts = Json::array();
+    for (const auto& host : list) {
+      if (host["ref"].get_ref<const std::string&>() <= since) continue;
+      if (hosts.size() == most) return {{"hosts", hosts}, {"hasNext", true}};
+      hosts.push_back(host);
+    }
+    return {{"hosts", hosts}, {"hasNext", false}};
+  }
+
   void rent(const Json& in, const Respond& respond) {
     const auto ask = in["ask"].get<std::string>();
     if (const auto it = asked_.find(ask); it != asked_.end()) {
