Holdings are counted anew when a machine's tasks change; no plan where nothing waits; cost tests

Tests count allocations: of reading a report, of answers, of a waiting array, of the leader's loops at 36 and 288 machines, of idle connections.

--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -148,6 +148,7 @@
   std::vector<Job*> jobs_by_arrival();
   void note_idle(Job& job) const;
   bool may_be_placed(const Job& job) const;
+  bool any_may_be_placed() const;
   sched::PlanJob plan_job(const Job& job, bool guaranteed) const;
   void refresh(Machine& machine);
   std::vector<std::set<std::size_t>> machines_to_avoid() const;
--- a/src/fleet/machines.cpp
+++ b/src/fleet/machines.cpp
@@ -96,7 +96,6 @@
   m.last_report = now;
   m.goes_at.reset();
   if (r.notice) m.goes_at = now + to_duration(*r.notice);
-  m.changed = m.changed || !r.tasks.empty() || !m.occupants.empty();
 }
 
 // Whether the report shows that the task's image is there.
@@ -111,6 +110,7 @@
   Occupant& o = it->second;
   o.seen_seq = m.seq;
   if (adopted) {
+    m.changed = true;
     o.task = t.task;
     o.attempt = t.attempt;
     o.planned_at = now;
@@ -123,6 +123,7 @@
   if (begins_to_run && o.running_since == TimePoint{}) o.running_since = now;
   if (o.job && shows_image(t)) m.use_image(*o.job, cache_gb);
   if (t.state == TaskState::Exited) {
+    m.changed = true;
     o.phase = Occupant::Phase::Exited;
     o.cause = t.cause;
     o.saved = t.saved;
@@ -158,6 +159,7 @@
       events.push_back({TaskEvent::Kind::Vanished, o});
     }
     it = m.occupants.erase(it);
+    m.changed = true;
   }
 }
 
--- a/src/fleet/machines.hpp
+++ b/src/fleet/machines.hpp
@@ -81,7 +81,8 @@
   TimePoint idle_since{};
   std::map<OccupantKey, Occupant> occupants;
   Holding holding;       // as of the last look at the occupants
-  bool changed = false;  // the occupants have, since then
+  // What they hold may have changed since then.
+  bool changed = false;
   // Images seen here, the latest used last.
   std::list<std::pair<std::string, double>> image_use;
   std::set<std::string> images;
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -101,6 +101,13 @@
   if (!loaded_ || !election_.entitled() || !current() || !catalog_.known()) return;
   plan_wanted_ = false;
   const auto now = runtime_.now();
+  // Most ticks of a fleet that has enough room find nothing to place: no look at the machines then.
+  if (!any_may_be_placed()) {
+    for (auto& [id, job] : jobs_.all()) note_idle(job);
+    demand_.clear();
+    next_plan_ = now + kPlanEvery;
+    return;
+  }
   auto s = snapshot();
   const auto avoid = machines_to_avoid();
   for (std::size_t i = 0; i < s.jobs.size(); ++i) {
--- a/src/fleet/snapshot.cpp
+++ b/src/fleet/snapshot.cpp
@@ -117,6 +117,12 @@
   return unlimited;
 }
 
+bool Fleet::any_may_be_placed() const {
+  const auto& jobs = jobs_.all();
+  return std::any_of(jobs.begin(), jobs.end(),
+                     [this](const auto& job) { return may_be_placed(job.second); });
+}
+
 sched::PlanJob Fleet::plan_job(const Job& job, bool guaranteed) const {
   sched::PlanJob p;
   p.ref = planned_jobs_.size();
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -279,8 +279,7 @@
   // handle must not be used for the next request until then.
   if (reusable && !c->writing && idle.size() < kMostIdlePerAddress) {
     c->idle_since = ++turns_;
-    c->request = HttpRequest{};
-    c->response = HttpResponse{};
+    release_if_large(c->request.body);
     release_if_large(c->outgoing);
     idle.push_back(c);
   } else {
--- /dev/null
+++ b/tests/cost_test.cpp
@@ -0,0 +1,125 @@
+// What the hot paths cost, in counts that repeat: they must not grow with what stays as it is.
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+#include <uv.h>
+
+#include "fleet/jobs.hpp"
+#include "net/http_client.hpp"
+#include "net/http_server.hpp"
+#include "sim/scenario.hpp"
+#include "wire/worker.hpp"
+
+namespace {
+
+using namespace sim;
+
+constexpr std::size_t kPools = 12;  // of the scenario
+
+std::string report_of(std::size_t tasks) {
+  Json list = Json::array();
+  for (std::size_t i = 0; i < tasks; ++i) {
+    list.push_back(
+        {{"piece", "req-000412/" + std::to_string(i)}, {"try", i}, {"stage", "running"}});
+  }
+  return Json{{"host", "n-000001"},  {"endpoint", "10.1.0.1:9000"},
+              {"flavor", "c16"},     {"yard", "north"},
+              {"loaner", true},      {"tenure", 1},
+              {"tick", 8},           {"baton", 41},
+              {"warningS", nullptr}, {"pieces", list}}
+      .dump();
+}
+
+TEST(Cost, OfReadingAReportIsNoAllocationATask) {
+  const auto cost = [](std::size_t tasks) {
+    auto body = report_of(tasks);
+    const auto before = allocations();
+    const auto report = wire::decode_report(std::move(body));
+    EXPECT_EQ(report.tasks.size(), tasks);
+    return allocations().since(before).count;
+  };
+  // The list grows by doubling.
+  EXPECT_LE(cost(64) - cost(1), 8U);
+}
+
+TEST(Cost, OfAnswersIsNoTreeACommand) {
+  const auto cost = [](std::size_t commands) {
+    const std::vector<Command> list(commands, Command{Command::Op::Start, {"req-000412", 7}, 9});
+    const auto before = allocations();
+    EXPECT_FALSE(wire::encode_commands(41, list).empty());
+    return allocations().since(before).count;
+  };
+  EXPECT_LE(cost(65) - cost(1), 16U);
+}
+
+TEST(Cost, OfWaitingTasksIsOneEntryARun) {
+  JobSpec spec;
+  spec.id = "req-000001";
+  spec.tasks = 100'000;
+  fleet::Jobs jobs;
+  const auto before = allocations();
+  fleet::Job& job = jobs.add(spec, 1, {});
+  // Two bits a task, and what a job takes by itself.
+  EXPECT_LE(allocations().since(before).held, 2 * 100'000 / 8 + 4096);
+  EXPECT_EQ(job.waiting.size(), 100'000U);
+  EXPECT_EQ(job.waiting.runs(), 1U);
+  for (std::uint32_t i = 0; i < 1000; ++i) EXPECT_EQ(fleet::Jobs::take_waiting(job), i);
+  EXPECT_EQ(job.waiting.runs(), 1U);
+}
+
+// Allocations of the leader's own loops in ten seconds in which nothing changes.
+std::uint64_t cost_of_a_steady_fleet(std::size_t per_pool) {
+  Scenario s(77, per_pool);
+  s.world.run_until(2);
+  auto ask = array(static_cast<std::uint32_t>(per_pool * 35), 900);
+  ask.truth.spot = true;
+  s.submit(ask);
+  s.world.run_until(80);
+  EXPECT_GE(s.cloud.running().size(), (kPools - 1) * per_pool);
+  const int leader = s.leader();
+  if (leader < 0) return 0;
+  const auto& runtime = *s.nodes[static_cast<std::size_t>(leader)].runtime;
+  const auto before = runtime.timer_allocations;
+  s.world.run_until(90);
+  return runtime.timer_allocations - before;
+}
+
+TEST(Cost, OfTheLeadersLoopsDoesNotGrowWithTheFleet) {
+  const auto small = cost_of_a_steady_fleet(3), large = cost_of_a_steady_fleet(24);
+  EXPECT_GT(small, 0U);
+  EXPECT_LE(large, small * 3 / 2) << "of 36 machines " << small;
+}
+
+// What a server and its clients hold for a connection between two messages.
+TEST(Cost, OfAnIdleConnectionIsLittleMemory) {
+  uv_loop_t loop;
+  uv_loop_init(&loop);
+  constexpr int kConnections = 100;
+  // On the heap, never freed: their handles belong to the loop for as long as the process lives.
+  net::HttpServer* server = nullptr;
+  std::string address;
+  for (int port = 20000 + getpid() % 20000; address.empty(); ++port) {
+    server = new net::HttpServer(&loop, {}, [](const HttpRequest&, const net::Respond& respond) {
+      respond({200, std::string(20'000, 'x')});
+    });
+    try {
+      server->listen("127.0.0.1:" + std::to_string(port));
+      address = "127.0.0.1:" + std::to_string(port);
+    } catch (const std::runtime_error&) {
+      continue;  // taken
+    }
+  }
+  auto* client = new net::HttpClient(&loop, kConnections);
+  const auto before = allocations();
+  int answered = 0;
+  for (int i = 0; i < kConnections; ++i) {
+    client->send(address, {"POST", "/", std::string(20'000, 'y')}, 10s,
+                 [&answered](const HttpResponse& r) { answered += r.status == 200 ? 1 : 0; });
+  }
+  while (answered < kConnections) uv_run(&loop, UV_RUN_ONCE);
+  for (int i = 0; i < 20; ++i) uv_run(&loop, UV_RUN_NOWAIT);
+  ASSERT_EQ(server->connections(), 8U) << "the client keeps eight to an address";
+  EXPECT_LE(allocations().since(before).held, 8 * 2 * 2048);
+}
+
+}  // namespace
--- a/tests/sim/scenario.hpp
+++ b/tests/sim/scenario.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "node/node.hpp"
+#include "sim/allocations.hpp"
 #include "sim/checker.hpp"
 #include "sim/fleet.hpp"
 #include "sim/state.hpp"
@@ -94,7 +95,10 @@
     world_.at(delay, [this, alive = std::weak_ptr<int>(alive_), id, action = std::move(action)] {
       if (alive.expired()) return;
       when_awake([this, id, action] {
-        if (timers_.erase(id) != 0) action();
+        if (timers_.erase(id) == 0) return;
+        const auto before = allocations();
+        action();
+        timer_allocations += allocations().since(before).count;
       });
     });
     return id;
@@ -113,6 +117,7 @@
               });
   }
   void cancel(TimerId id) override { timers_.erase(id); }
+  std::uint64_t timer_allocations = 0;  // made by the node's own loops
   void http(const std::string& address, HttpRequest request, Duration timeout,
             HttpCallback done) override {
     world_.http(host_, address, std::move(request), timeout,
