A contested term notes when its wait is over, so that the next ones need not wait

Ruled out: machines that are lost are waited for a lease in any case. SilentLeader.IsForgottenOnceItsEntitlementIsOver was seen to fail without it.

--- a/src/leader/election.cpp
+++ b/src/leader/election.cpp
@@ -83,7 +83,7 @@
     record.contested = true;
   }
   if (resigned_by_sibling_ != 0 && item.version == resigned_by_sibling_) {
-    claim(item.version, record.contested);
+    claim_after(item.version, record.contested);
     return;
   }
   if (record.node != node_) {
@@ -99,7 +99,7 @@
   } else {
     // An earlier process of this node held it, and has ended: a node runs one process. The claim
     // writes the key, so late transactions of that process fail.
-    claim(item.version, record.contested);
+    claim_after(item.version, record.contested);
   }
 }
 
@@ -118,8 +118,31 @@
                });
 }
 
-// `contested`: whether a leader before this claim may be entitled still. A term inherits it from
-// the one before, whose own bound need not be over yet.
+// Claims from the term with this version, whose leader has resigned or ended. If that term was
+// contested, leaders before it may be entitled still, unless its leader has noted that they are
+// not.
+void Election::claim_after(std::uint64_t version, bool contested) {
+  if (!contested) {
+    claim(version, false);
+    return;
+  }
+  const auto epoch = ++epoch_;
+  store_.get_now(store::kEarlierLeadersEndedKey,
+                 [this, epoch, version](const store::ReadResult& r) {
+                   if (epoch != epoch_) return;
+                   bool ended = false;
+                   if (r.outcome == store::ReadOutcome::Found) {
+                     try {
+                       ended = store::decode_earlier_leaders_ended(*r.item.value) == version;
+                     } catch (const wire::BadMessage& e) {
+                       log::error("{} is malformed: {}", store::kEarlierLeadersEndedKey, e.what());
+                     }
+                   }
+                   claim(version, !ended);
+                 });
+}
+
+// `contested`: whether a leader before this claim may be entitled still.
 void Election::claim(std::uint64_t expected_version, bool contested) {
   const auto epoch = ++epoch_;
   const auto sent = runtime_.now();
@@ -166,6 +189,8 @@
   // An earlier leader has renewed before this claim was carried out, if at all: see renew().
   earlier_leaders_end_ = now;
   if (contested) earlier_leaders_end_ += to_duration(Seconds(seconds(ttl_) * (1 + kClockDrift)));
+  bound_to_be_noted_ = contested;
+  noting_bound_ = false;
   log::info("leading with token {}{}", token_, contested ? ", contested" : "");
   events_.elected(token_);
   heartbeat();
@@ -226,11 +251,30 @@
     entitled_until_ = {};
     renew();
   }
+  note_earlier_leaders_ended();
   runtime_.after(kHeartbeatEvery, [this, token = token_] {
     if (token == token_) heartbeat();
   });
 }
 
+// Without it every term after a contested one would be taken for contested as well, and wait for
+// machines that are not heard for longer than it must.
+void Election::note_earlier_leaders_ended() {
+  if (!bound_to_be_noted_ || noting_bound_ || !entitled()) return;
+  if (runtime_.now() < earlier_leaders_end_) return;
+  noting_bound_ = true;
+  wire::Txn txn;
+  txn.conditions.push_back(guard());
+  txn.changes.push_back(
+      {store::kEarlierLeadersEndedKey, store::encode_earlier_leaders_ended(token_)});
+  store_.write(std::move(txn), store::Urgency::Lazy,
+               [this, token = token_](const store::WriteResult& r) {
+                 if (token != token_) return;
+                 noting_bound_ = false;
+                 if (r.outcome == store::WriteOutcome::Committed) bound_to_be_noted_ = false;
+               });
+}
+
 void Election::resign() {
   if (!leading()) return;
   log::info("token {} is given up", token_);
--- a/src/leader/election.hpp
+++ b/src/leader/election.hpp
@@ -58,6 +58,7 @@
   void check_later(Duration delay);
   void on_leader_item(const wire::Item& item, std::uint64_t revision);
   void follow(std::uint64_t after);
+  void claim_after(std::uint64_t version, bool contested);
   void claim(std::uint64_t expected_version, bool contested);
   void write_claim(std::uint64_t expected_version, bool contested);
   void lead(std::uint64_t token, bool contested);
@@ -65,6 +66,7 @@
   void touch(std::uint64_t epoch, TimePoint sent);
   void renew_after(std::uint64_t epoch, Duration delay);
   void heartbeat();
+  void note_earlier_leaders_ended();
   void lose();
   TimePoint entitlement_end(TimePoint renewal_sent) const;
 
@@ -80,6 +82,8 @@
   TimePoint next_contest_{};
   PendingClaim pending_;
   TimePoint entitled_until_{}, last_heartbeat_{}, earlier_leaders_end_{};
+  // The record says that the term is contested, and not yet that the bound is over.
+  bool bound_to_be_noted_ = false, noting_bound_ = false;
   std::string leader_;
   std::uint64_t leader_version_ = 0;  // of the key as another node holds it; 0: unknown
   std::uint64_t epoch_ = 0;           // answers to requests of an earlier epoch are dropped
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -51,6 +51,12 @@
           wire::flag_or(value, "contested", false)};
 }
 
+Json encode_earlier_leaders_ended(std::uint64_t token) { return {{"token", token}}; }
+
+std::uint64_t decode_earlier_leaders_ended(const Json& value) {
+  return wire::integer(value, "token");
+}
+
 std::size_t tasks_per_chunk(std::size_t value_bytes) {
   return (value_bytes - kChunkOverhead) * 4;  // four tasks a digit
 }
--- a/src/store/records.hpp
+++ b/src/store/records.hpp
@@ -20,6 +20,9 @@
 namespace asterstair::store {
 
 inline constexpr const char* kLeaderKey = "leader";
+// {"token": T}: all leaders before the term T have lost their entitlement. Written by the leader of
+// a contested term once that is so.
+inline constexpr const char* kEarlierLeadersEndedKey = "earlier-leaders-ended";
 inline constexpr const char* kLivePrefix = "live/";
 inline constexpr const char* kProgressPrefix = "progress/";
 inline constexpr const char* kRosterPrefix = "roster/";
@@ -52,6 +55,8 @@
 };
 wire::Json encode_leader(const LeaderRecord& record);
 LeaderRecord decode_leader(const wire::Json& value);
+wire::Json encode_earlier_leaders_ended(std::uint64_t token);
+std::uint64_t decode_earlier_leaders_ended(const wire::Json& value);  // the token; throws BadMessage
 
 // Progress: one bit a task, in hexadecimal, in chunks that fit a value.
 std::size_t tasks_per_chunk(std::size_t value_bytes);
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -536,6 +536,35 @@
   }
 }
 
+// Long after a contested term has begun its leader ends. Its successor need not wait for leaders
+// before it: a machine that is not heard is waited for a lease, not a grant and a lease.
+// Guard: Election::note_earlier_leaders_ended.
+TEST(SilentLeader, IsForgottenOnceItsEntitlementIsOver) {
+  Scenario s(82, 3, 3);
+  s.submit(array(8, 400));
+  s.world.run_until(40);
+  const int old = s.leader();
+  ASSERT_GE(old, 0);
+  s.freeze(old, 8);
+  s.world.run_until(50);
+  const int next = s.leader(old);
+  ASSERT_GE(next, 0) << "not replaced: the test shows nothing";
+  s.world.run_until(80);
+  const auto machines = s.cloud.running();
+  ASSERT_FALSE(machines.empty());
+  s.world.cut(machines.front()->id);
+  s.crash(next, 0.2);
+  s.world.run_until(81);
+  const auto id = s.submit(array(1, 5, "red"));
+  // A lease, the machine's next report and its image; with a grant, 20 s more.
+  s.world.run_until(81 + 10 + 8);
+  EXPECT_TRUE(s.checker.began(id));
+  s.world.heal(machines.front()->id);
+  s.world.run_until(200);
+  EXPECT_EQ(s.checker.final_of(id), "done");
+  EXPECT_TRUE(s.checker.broken.empty()) << s.checker.text();
+}
+
 // All machines are gone as a leader ends: each next one heard no worker for a few seconds and
 // handed over, long before the leases of those on the roster had run out, and so for ever: nothing
 // was started any more. Guard: Node::check_leadership asks whether the sibling hears workers.
