One timer serves both queues to the state service; gangs are stopped in one place

Shown by duplicates. A gang that lost a task tells starts under way directly too, as cancelled jobs do.

--- a/src/fleet/gangs.cpp
+++ b/src/fleet/gangs.cpp
@@ -25,16 +25,7 @@
   DirectStops direct;
   for (auto& [id, job] : jobs_.all()) {
     if (!job.spec->gang() || job.placed.empty() || job.waiting.empty()) continue;
-    for (const auto& [index, placed] : job.placed) {
-      Machine* m = machines_.find(placed.machine);
-      if (m == nullptr) continue;
-      Occupant* o = m->occupant({id, index}, placed.attempt);
-      if (o == nullptr || o->stop) continue;
-      stop_occupant(*m, *o, Seconds(0));
-      if (o->phase == Occupant::Phase::Present) {
-        direct.emplace_back(m->id, Command{Command::Op::Stop, o->task, placed.attempt});
-      }
-    }
+    stop_gang(job, Seconds(0), direct);
   }
   send_direct(direct);
 }
@@ -104,7 +95,7 @@
     Occupant* o = m == nullptr ? nullptr : m->occupant({job.spec->id, index}, placed.attempt);
     if (o == nullptr || o->stop) continue;
     stop_occupant(*m, *o, grace);
-    if (job.spec->tasks > 1) {
+    if (job.spec->tasks > 1 && o->phase != Occupant::Phase::Planned) {
       direct.emplace_back(m->id, Command{Command::Op::Stop, o->task, placed.attempt, grace});
     }
   }
--- a/src/store/read_queue.cpp
+++ b/src/store/read_queue.cpp
@@ -12,7 +12,6 @@
 constexpr auto kTimeout = 900ms;
 constexpr std::size_t kMostInFlight = 16;
 constexpr int kMostTries = 3;
-constexpr auto kSoonest = 2ms;
 // So many reads of live jobs waiting are answered by one list of these, now and then.
 constexpr std::size_t kBatchAbove = 24;
 constexpr auto kBatchEvery = 400ms, kBatchTimeout = 800ms;
@@ -60,18 +59,6 @@
   pump();
 }
 
-void ReadQueue::wake(Duration delay) {
-  delay = std::max<Duration>(delay, kSoonest);
-  const auto at = link_.now() + delay;
-  if (wake_at_ && *wake_at_ <= at) return;
-  wake_at_ = at;
-  link_.runtime().after(delay, [this, at] {
-    if (wake_at_ != at) return;  // an earlier one has been set since, and has looked at everything
-    wake_at_.reset();
-    pump();
-  });
-}
-
 ReadQueue::Read ReadQueue::take_first() {
   Read read = std::move(reads_.front());
   by_key_.erase(read.key);
@@ -89,12 +76,12 @@
       continue;
     }
     if (in_flight_ >= kMostInFlight) {
-      wake(left);
+      wake_.set(left);
       return;
     }
     const auto wait = link_.requests.wait_for(1, now);
     if (wait > Duration::zero()) {
-      wake(std::min<Duration>(wait, left));
+      wake_.set(std::min<Duration>(wait, left));
       return;
     }
     link_.requests.take(1, now);
--- a/src/store/read_queue.hpp
+++ b/src/store/read_queue.hpp
@@ -5,19 +5,20 @@
 #include <deque>
 #include <functional>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
 #include "store/link.hpp"
 #include "store/results.hpp"
+#include "store/wake_timer.hpp"
 
 namespace asterstair::store {
 
 class ReadQueue {
  public:
   // Somebody waits on a connection for each read: there need never be more of them than sockets.
-  ReadQueue(Link& link, std::size_t most_waiting) : link_(link), most_waiting_(most_waiting) {}
+  ReadQueue(Link& link, std::size_t most_waiting)
+      : link_(link), most_waiting_(most_waiting), wake_(link.runtime(), [this] { pump(); }) {}
 
   // Given up, as Unavailable, after `patience`.
   void get(const std::string& key, std::function<void(ReadResult)> done, Duration patience);
@@ -33,7 +34,6 @@
   };
 
   void pump();
-  void wake(Duration delay);
   Read take_first();
   void send(Read read);
   void answered(Read& read, const HttpResponse& response);
@@ -47,7 +47,7 @@
   std::deque<Read> reads_;
   std::map<std::string, Read*> by_key_;  // deque entries keep their addresses at either end
   std::size_t in_flight_ = 0;
-  std::optional<TimePoint> wake_at_;
+  WakeTimer wake_;
   bool batch_in_flight_ = false;
   TimePoint next_batch_{};
 };
--- a/src/store/records.hpp
+++ b/src/store/records.hpp
@@ -56,7 +56,8 @@
 wire::Json encode_leader(const LeaderRecord& record);
 LeaderRecord decode_leader(const wire::Json& value);
 wire::Json encode_earlier_leaders_ended(std::uint64_t token);
-std::uint64_t decode_earlier_leaders_ended(const wire::Json& value);  // the token; throws BadMessage
+std::uint64_t decode_earlier_leaders_ended(
+    const wire::Json& value);  // the token; throws BadMessage
 
 // Progress: one bit a task, in hexadecimal, in chunks that fit a value.
 std::size_t tasks_per_chunk(std::size_t value_bytes);
--- a/src/store/write_queue.cpp
+++ b/src/store/write_queue.cpp
@@ -19,7 +19,6 @@
 constexpr std::size_t kLargestTxn = std::size_t{60} * 1024;
 constexpr std::size_t kConditionsPerOp = 4;  // PROTOCOL
 constexpr std::size_t kConditionOverhead = 40;
-constexpr auto kSoonest = 2ms;
 
 std::size_t size_of(const wire::Txn& txn) {
   std::size_t out = 0;
@@ -90,19 +89,7 @@
   queue.bytes += w.size + kWriteOverhead;
   queue.writes.push_back(std::move(w));
   // Writes asked for in the same turn of the loop travel together.
-  wake(Duration::zero());
-}
-
-void WriteQueue::wake(Duration delay) {
-  delay = std::max<Duration>(delay, kSoonest);
-  const auto at = link_.now() + delay;
-  if (wake_at_ && *wake_at_ <= at) return;
-  wake_at_ = at;
-  link_.runtime().after(delay, [this, at] {
-    if (wake_at_ != at) return;  // an earlier one has been set since, and has looked at everything
-    wake_at_.reset();
-    pump();
-  });
+  wake_.set(Duration::zero());
 }
 
 void WriteQueue::pump() {
@@ -127,7 +114,7 @@
     }
     const auto wait = std::max(link_.requests.wait_for(1, now), changes_.wait_for(ops, now));
     if (wait > Duration::zero()) {
-      wake(wait);
+      wake_.set(wait);
       return false;
     }
     link_.requests.take(1, now);
--- a/src/store/write_queue.hpp
+++ b/src/store/write_queue.hpp
@@ -5,11 +5,11 @@
 #include <array>
 #include <deque>
 #include <functional>
-#include <optional>
 #include <vector>
 
 #include "store/link.hpp"
 #include "store/results.hpp"
+#include "store/wake_timer.hpp"
 
 namespace asterstair::store {
 
@@ -20,7 +20,11 @@
  public:
   // `most_bytes` bounds what waits, for each urgency apart.
   WriteQueue(Link& link, Budget changes, std::size_t txn_ops, std::size_t most_bytes)
-      : link_(link), changes_(changes), txn_ops_(txn_ops), most_bytes_(most_bytes) {}
+      : link_(link),
+        changes_(changes),
+        txn_ops_(txn_ops),
+        most_bytes_(most_bytes),
+        wake_(link.runtime(), [this] { pump(); }) {}
 
   // Given up, as NotDone, if it cannot be sent for long.
   void write(wire::Txn txn, Urgency urgency, std::function<void(WriteResult)> done);
@@ -42,7 +46,6 @@
 
   void pump();
   bool pump(Queue& queue);
-  void wake(Duration delay);
   std::size_t joinable(const Queue& queue) const;
   void send(Queue& queue, Batch batch);
   void answered(Queue& queue, Batch& batch, const HttpResponse& response);
@@ -56,7 +59,7 @@
   bool full_told_ = false;
   std::array<Queue, 4> queues_;  // by urgency
   std::size_t in_flight_ = 0;
-  std::optional<TimePoint> wake_at_;
+  WakeTimer wake_;
 };
 
 }  // namespace asterstair::store
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -24,7 +24,8 @@
   s.world.tamper = [&](const std::string&, const HttpRequest& request, HttpResponse& r) {
     if (request.target != "/v1/report" || r.status != 200) return;
     if (Json::parse(request.body)["host"] != deaf->id) return;
-    for (const auto& c : Json::parse(r.body)["orders"]) {
+    const auto answer = Json::parse(r.body);
+    for (const auto& c : answer["orders"]) {
       if (c["verb"] == "run") ++ordered[c["piece"].get<std::string>()];
     }
   };
