Half-sent requests hold no more than a part of the memory; what is beyond gets 503 at once

Cause: 650 connections of a node with 37 MB could hold 41 MB of bodies that never come whole. An eighth of the memory bounds them now; Http.HalfSentRequestsHoldNoMoreThanTheirPartOfTheMemory was seen to fail without the bound.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <iostream>
@@ -12,6 +13,10 @@
 
 using namespace asterstair;
 
+// Of the memory, for requests that have not come whole.
+constexpr std::size_t kBufferedPartOfMemory = 8;
+constexpr std::size_t kLeastBuffered = std::size_t{1} * 1024 * 1024;
+
 // Serves until the process is killed.
 void serve(const Settings& settings) {
   net::LoopRuntime runtime(settings);
@@ -20,6 +25,7 @@
   // The rest is for the node's own connections: state service, cloud, siblings.
   limits.connections = settings.max_connections * 13 / 16;
   limits.kept = limits.connections * 7 / 8;
+  limits.buffered = std::max(kLeastBuffered, settings.memory_bytes / kBufferedPartOfMemory);
   net::HttpServer server(runtime.loop(), limits,
                          [&](HttpRequest request, const net::Respond& respond) {
                            node.handle(std::move(request), respond);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t kLongestTarget = 2048;
+constexpr std::chrono::seconds kComeBack{1};  // when there is no room for a request
 constexpr std::size_t kMostPipelined = std::size_t{16} * 1024;
 
 const char* reason(int status) {
@@ -53,10 +54,12 @@
   http_parser parser{};
   int handles = 2;
   bool closing = false, busy = false, in_request = false, complete = false, too_large = false;
+  bool no_room = false;  // for what comes of the body
   bool keep = true, idle = false;
   std::list<Connection*>::iterator idle_at;
   HttpRequest request;
-  std::string pending;  // bytes that came while a request was being answered
+  std::size_t buffered = 0;  // its part of the server's
+  std::string pending;       // bytes that came while a request was being answered
   std::string outgoing;
 
   static const http_parser_settings& parser_settings();
@@ -163,6 +166,7 @@
 void HttpServer::close(Connection* c) {
   if (c->closing) return;
   c->closing = true;
+  release_buffered(c);
   set_idle(c, false);
   connections_.erase(c);
   live_.erase(c->id);
@@ -177,7 +181,7 @@
 int HttpServer::Connection::on_message_begin(http_parser* parser) {
   auto* c = static_cast<Connection*>(parser->data);
   c->request = HttpRequest{};
-  c->too_large = false;
+  c->too_large = c->no_room = false;
   return 0;
 }
 
@@ -192,10 +196,7 @@
   auto* c = static_cast<Connection*>(parser->data);
   const bool has_length = parser->content_length != ULLONG_MAX;
   if (!has_length) return 0;
-  if (parser->content_length <= c->owner->limits_.body) {
-    c->request.body.reserve(parser->content_length);
-    return 0;
-  }
+  if (parser->content_length <= c->owner->limits_.body) return 0;
   c->too_large = true;
   return -1;  // 1 and 2 have meanings of their own to the parser
 }
@@ -206,6 +207,12 @@
     c->too_large = true;
     return 1;
   }
+  if (c->owner->buffered_ + length > c->owner->limits_.buffered) {
+    c->no_room = true;
+    return 1;
+  }
+  c->owner->buffered_ += length;
+  c->buffered += length;
   c->request.body.append(at, length);
   return 0;
 }
@@ -248,15 +255,33 @@
     return;
   }
   if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK || c->parser.upgrade != 0) {
-    c->keep = false;
-    c->busy = true;
-    answer(c, {c->too_large ? 413 : 400,
-               wire::encode_error(c->too_large ? "the body is too large" : "not HTTP")});
+    refuse(c);
   }
 }
 
+// What cannot be read to its end; nothing more is expected on the connection.
+void HttpServer::refuse(Connection* c) {
+  release_buffered(c);
+  c->request = HttpRequest{};
+  c->keep = false;
+  c->busy = true;
+  if (c->no_room) {
+    answer(c, {503, wire::encode_error("too many requests are being received"), kComeBack});
+  } else if (c->too_large) {
+    answer(c, {413, wire::encode_error("the body is too large")});
+  } else {
+    answer(c, {400, wire::encode_error("not HTTP")});
+  }
+}
+
+void HttpServer::release_buffered(Connection* c) {
+  buffered_ -= c->buffered;
+  c->buffered = 0;
+}
+
 void HttpServer::dispatch(Connection* c) {
   c->busy = true;
+  release_buffered(c);
   uv_timer_stop(&c->timer);
   const auto id = c->id;
   handler_(std::move(c->request), [this, c, id](const HttpResponse& response) {
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -28,6 +28,8 @@
     // Above so many, answers ask for the connection to be closed: most clients hold one that they
     // use for moments only. At the bound the longest idle gives way, so that newcomers are served.
     std::size_t kept = 500;
+    // Of all requests together that have not come whole: half-sent ones must not use up the memory.
+    std::size_t buffered = std::size_t{8} * 1024 * 1024;
   };
 
   HttpServer(uv_loop_t* loop, Limits limits, Handler handler);
@@ -44,6 +46,8 @@
   void arm(Connection* connection, Duration time);
   void close(Connection* connection);
   void dispatch(Connection* connection);
+  void refuse(Connection* connection);
+  void release_buffered(Connection* connection);
   void answer(Connection* connection, const HttpResponse& response);
   void parse(Connection* connection, const char* data, std::size_t size);
 
@@ -56,6 +60,7 @@
   std::unordered_set<std::uint64_t> live_;
   std::list<Connection*> idle_;  // between requests, the longest first
   std::uint64_t next_id_ = 1;
+  std::size_t buffered_ = 0;  // bytes of bodies that have not come whole
 };
 
 }  // namespace asterstair::net
--- a/tests/edges_test.cpp
+++ b/tests/edges_test.cpp
@@ -261,7 +261,7 @@
     // them: try a few.
     for (int port = 20000 + getpid() % 20000; server_port == 0; ++port) {
       server = std::make_unique<net::HttpServer>(
-          &loop, net::HttpServer::Limits{4, 1024, 300ms, 300ms, 3},
+          &loop, net::HttpServer::Limits{4, 1024, 300ms, 300ms, 3, 1500},
           [this](const HttpRequest& r, const net::Respond& respond) {
             ++served;
             respond({r.target == "/missing" ? 404 : 200, r.method + " " + r.body,
@@ -375,6 +375,25 @@
   EXPECT_EQ(server->connections(), 0U);
 }
 
+// With hundreds of connections, bodies that never come whole would use up a small machine's memory.
+TEST_F(Http, HalfSentRequestsHoldNoMoreThanTheirPartOfTheMemory) {
+  const std::string half =
+      "POST /x HTTP/1.1\r\nContent-Length: 1000\r\n\r\n" + std::string(700, 'a');
+  const int first = connect_raw(half), second = connect_raw(half);
+  run_until([&] { return server->connections() == 2; });
+  for (int i = 0; i < 20; ++i) uv_run(&loop, UV_RUN_NOWAIT);
+  const auto refused = read_raw(connect_raw(half));
+  EXPECT_NE(refused.find("503 Service Unavailable"), std::string::npos);
+  EXPECT_NE(refused.find("Retry-After: 1"), std::string::npos);
+  // The others' time is over soon, and there is room again.
+  EXPECT_EQ(read_raw(first), "");
+  EXPECT_EQ(read_raw(second), "");
+  const auto whole = "POST /x HTTP/1.1\r\nConnection: close\r\nContent-Length: 1000\r\n\r\n" +
+                     std::string(1000, 'a');
+  EXPECT_NE(read_raw(connect_raw(whole)).find("200 OK"), std::string::npos);
+  EXPECT_EQ(served, 1);
+}
+
 TEST_F(Http, AnswersPipelinedRequestsOneByOne) {
   const auto out = read_raw(
       connect_raw("GET /a HTTP/1.1\r\n\r\nGET /missing HTTP/1.1\r\nConnection: close\r\n\r\n"));
