--- a/src/fleet/machines.hpp
+++ b/src/fleet/machines.hpp
@@ -80,7 +80,7 @@
   std::uint32_t failures = 0;
   TimePoint idle_since{};
   std::map<OccupantKey, Occupant> occupants;
-  Holding holding;       // as of the last look at the occupants
+  Holding holding;  // as of the last look at the occupants
   // What they hold may have changed since then.
   bool changed = false;
   // Images seen here, the latest used last.
