--- a/tests/cost_test.cpp
+++ b/tests/cost_test.cpp
@@ -14,8 +14,6 @@
 
 using namespace sim;
 
-constexpr std::size_t kPools = 12;  // of the scenario
-
 std::string report_of(std::size_t tasks) {
   Json list = Json::array();
   for (std::size_t i = 0; i < tasks; ++i) {
@@ -71,11 +69,9 @@
 std::uint64_t cost_of_a_steady_fleet(std::size_t per_pool) {
   Scenario s(77, per_pool);
   s.world.run_until(2);
-  auto ask = array(static_cast<std::uint32_t>(per_pool * 35), 900);
-  ask.truth.spot = true;
-  s.submit(ask);
+  s.submit(spot_array(static_cast<std::uint32_t>(per_pool * 35), 900));
   s.world.run_until(80);
-  EXPECT_GE(s.cloud.running().size(), (kPools - 1) * per_pool);
+  EXPECT_GE(s.cloud.running().size(), (Scenario::kPools - 1) * per_pool);
   const int leader = s.leader();
   if (leader < 0) return 0;
   const auto& runtime = *s.nodes[static_cast<std::size_t>(leader)].runtime;
--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -1,5 +1,5 @@
 // Fleets as large as the service is asked to direct: the rules through a start, a change of leader,
-// a zone cut and a mass of cancellations, and what the hot paths cost as the fleet grows.
+// a zone cut and a mass of cancellations.
 
 #include <gtest/gtest.h>
 
@@ -9,16 +9,8 @@
 
 using namespace sim;
 
-constexpr std::size_t kPools = 12;
-
-Scenario::Ask spot_array(std::uint32_t tasks, double run_s) {
-  auto out = array(tasks, run_s);
-  out.truth.spot = true;
-  return out;
-}
-
 TEST(FourThousandMachines, KeepTheRulesThroughAChangeOfLeaderAZoneCutAndCancellations) {
-  Scenario s(4001, 4008 / kPools);
+  Scenario s(4001, 4008 / Scenario::kPools);
   std::vector<std::string> long_jobs, short_jobs;
   s.world.run_until(2);
   // More than the fleet holds, so that all of it is rented: four tasks fit on a machine at the
--- a/tests/sim/scenario.hpp
+++ b/tests/sim/scenario.hpp
@@ -190,6 +190,7 @@
   std::string name(int i) const { return names(count())[static_cast<std::size_t>(i)]; }
   std::string address(int i) const { return addresses(count())[static_cast<std::size_t>(i)]; }
   int any_node() { return static_cast<int>(world.uniform(0, count() - 0.001)); }
+  static constexpr std::size_t kPools = 12;  // as many as pools() makes
   static std::vector<PoolSpec> pools(std::size_t n) {
     std::vector<PoolSpec> out;
     const Shape cpu{"c16", 16, 0, 64, 0.5}, gpu{"g2", 8, 2, 64, 1.0};
@@ -407,6 +408,13 @@
   return a;
 }
 
+// The same, also on spot machines.
+inline Scenario::Ask spot_array(std::uint32_t tasks, double run_s) {
+  auto a = array(tasks, run_s);
+  a.truth.spot = true;
+  return a;
+}
+
 // Takes the orders of which this says so out of the answer to a report.
 inline void take_out(const HttpRequest& request, HttpResponse& r,
                      const std::function<bool(const Json&)>& which) {
