The leader's lease becomes a lease of any name: one implementation for all duties

Need: the duty of dealing with machines is to be held under a lease of its own, and a second copy of the election's logic would drift from the first. Change: src/lease has what leader/election had: lease.cpp holds, acquisition.cpp acquires; Election is the lease of the leader key. New: a lease can be campaigned for and withdrawn from, may be taken over at once, and records of a newer form are not read. Ruled out: a template over keys; both uses differ in options only.

--- /dev/null
+++ b/src/lease/acquisition.cpp
@@ -0,0 +1,189 @@
+// How a lease is acquired: the record is read, followed while another node holds it, and claimed by
+// a conditional write on a grant of this node.
+
+#include <algorithm>
+
+#include "base/log.hpp"
+#include "lease/lease.hpp"
+
+namespace asterstair::lease {
+namespace {
+
+constexpr auto kCheckRetry = 400ms;
+constexpr auto kWatchWait = 10s;
+// An attempt to claim the record of a silent holder is repeated no sooner.
+constexpr auto kContestEvery = 3s;
+
+}  // namespace
+
+void Lease::campaign() {
+  if (campaigning_) return;
+  campaigning_ = true;
+  check();
+}
+
+void Lease::check_later(Duration delay) {
+  const auto epoch = ++epoch_;
+  runtime_.after(delay, [this, epoch] {
+    if (epoch == epoch_) check();
+  });
+}
+
+void Lease::check() {
+  const auto epoch = ++epoch_;
+  if (!campaigning_) return;
+  // Listed, not read by its name: a list tells the revision to watch from. The key's own version
+  // falls out of what the service remembers once enough else has changed, and a watch from there
+  // is turned away each time.
+  store_.list(options_.key, [this, epoch](const store::ListResult& r) {
+    if (epoch != epoch_ || held()) return;
+    if (!r.ok) {
+      check_later(kCheckRetry);
+      return;
+    }
+    const auto item = std::find_if(r.items.begin(), r.items.end(),
+                                   [this](const auto& i) { return i.key == options_.key; });
+    if (item != r.items.end()) {
+      on_item(*item, r.revision);
+      return;
+    }
+    holder_.clear();
+    holder_version_ = 0;
+    if (runtime_.now() < no_claim_before_) {
+      check_later(kCheckRetry);
+    } else {
+      claim(0, false);
+    }
+  });
+}
+
+void Lease::on_item(const wire::Item& item, std::uint64_t revision) {
+  store::HolderRecord record;
+  try {
+    record = store::decode_holder(*item.value);
+  } catch (const wire::BadMessage& e) {
+    // Nobody's as far as can be told: followed until it changes or vanishes, never overwritten.
+    log::error("lease record {} is malformed: {}", item.key, e.what());
+    record = {};
+    record.contested = true;
+  }
+  on_record(record, item, revision);
+}
+
+void Lease::on_record(const store::HolderRecord& record, const wire::Item& item,
+                      std::uint64_t revision) {
+  if (resigned_by_sibling_ != 0 && item.version == resigned_by_sibling_) {
+    claim_after(item.version, record.contested);
+    return;
+  }
+  if (record.node != options_.node) {
+    holder_ = record.node;
+    holder_version_ = item.version;
+    if (options_.held_by_another == HeldByAnother::TakeOver && !holder_.empty()) {
+      claim(item.version, true);
+    } else {
+      follow(revision);
+    }
+    return;
+  }
+  if (pending_.id != 0 && record.claim == pending_.id) {
+    acquire(item.version, record.contested);
+  } else if (runtime_.now() < no_claim_before_) {
+    check_later(kCheckRetry);
+  } else {
+    // An earlier process of this node held it, and has ended: a node runs one process. The claim
+    // writes the key, so late transactions of that process fail.
+    claim_after(item.version, record.contested);
+  }
+}
+
+void Lease::follow(std::uint64_t after) {
+  const auto epoch = ++epoch_;
+  store_.watch(options_.key, after, kWatchWait, [this, epoch, after](const store::WatchResult& r) {
+    if (epoch != epoch_) return;
+    if (r.outcome == store::WatchResult::Outcome::Events && r.events.items.empty()) {
+      follow(std::max(after, r.events.revision));
+    } else if (r.outcome == store::WatchResult::Outcome::Unavailable) {
+      check_later(kCheckRetry);
+    } else {
+      check();
+    }
+  });
+}
+
+// Claims from the term with this version, whose holder has resigned or ended. If that term was
+// contested, holders before it may be entitled still, unless its holder has noted that they are
+// not.
+void Lease::claim_after(std::uint64_t version, bool contested) {
+  if (!contested || options_.bound_note_key.empty()) {
+    claim(version, contested);
+    return;
+  }
+  const auto epoch = ++epoch_;
+  store_.get_now(options_.bound_note_key, [this, epoch, version](const store::ReadResult& r) {
+    if (epoch != epoch_) return;
+    bool ended = false;
+    if (r.outcome == store::ReadOutcome::Found) {
+      try {
+        ended = store::decode_earlier_holders_ended(*r.item.value) == version;
+      } catch (const wire::BadMessage& e) {
+        log::error("{} is malformed: {}", options_.bound_note_key, e.what());
+      }
+    }
+    claim(version, !ended);
+  });
+}
+
+// `contested`: whether a holder before this claim may be entitled still.
+void Lease::claim(std::uint64_t expected_version, bool contested) {
+  const auto epoch = ++epoch_;
+  const auto sent = runtime_.now();
+  store_.create_grant(options_.ttl, [this, epoch, sent, expected_version,
+                                     contested](std::optional<std::uint64_t> grant) {
+    if (epoch != epoch_) return;
+    if (!grant) {
+      check_later(kCheckRetry);
+      return;
+    }
+    pending_ = {runtime_.rng()() >> 1U, *grant, sent};
+    write_claim(expected_version, contested);
+  });
+}
+
+void Lease::write_claim(std::uint64_t expected_version, bool contested) {
+  wire::Txn txn;
+  txn.conditions.push_back({options_.key, expected_version});
+  txn.changes.push_back({options_.key,
+                         store::encode_holder({options_.node, pending_.id, contested}),
+                         pending_.grant});
+  store_.write(std::move(txn), store::Urgency::User,
+               [this, epoch = epoch_, contested](const store::WriteResult& r) {
+                 if (epoch != epoch_) return;
+                 if (r.outcome == store::WriteOutcome::Committed) {
+                   acquire(r.revision, contested);
+                 } else if (r.outcome == store::WriteOutcome::Conflict) {
+                   store_.drop_grant(pending_.grant);
+                   check();
+                 } else {
+                   check_later(kCheckRetry);  // reading the key tells whether it was carried out
+                 }
+               });
+}
+
+void Lease::claim_resigned(std::uint64_t token) {
+  if (held() || token <= resigned_by_sibling_) return;
+  resigned_by_sibling_ = token;
+  holder_.clear();
+  holder_version_ = 0;
+  check();
+}
+
+void Lease::claim_from_silent_holder() {
+  const auto now = runtime_.now();
+  if (held() || holder_version_ == 0 || now < next_contest_ || now < no_claim_before_) return;
+  next_contest_ = now + kContestEvery;
+  log::info("{} has fallen silent; its lease {} is claimed", holder_, options_.key);
+  claim(holder_version_, true);
+}
+
+}  // namespace asterstair::lease
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -42,18 +42,25 @@
           static_cast<std::uint32_t>(wire::integer(value, "tasks"))};
 }
 
-Json encode_leader(const LeaderRecord& r) {
+void require_known_form(const Json& value) {
+  if (wire::optional_member(value, "form") == nullptr) return;
+  const auto form = wire::integer(value, "form");
+  if (form > kRecordForm) throw wire::BadMessage("form " + std::to_string(form) + " is newer");
+}
+
+Json encode_holder(const HolderRecord& r) {
   return {{"node", r.node}, {"claim", r.claim}, {"contested", r.contested}};
 }
 
-LeaderRecord decode_leader(const Json& value) {
+HolderRecord decode_holder(const Json& value) {
+  require_known_form(value);
   return {wire::text(value, "node"), wire::integer(value, "claim"),
           wire::flag_or(value, "contested", false)};
 }
 
-Json encode_earlier_leaders_ended(std::uint64_t token) { return {{"token", token}}; }
+Json encode_earlier_holders_ended(std::uint64_t token) { return {{"token", token}}; }
 
-std::uint64_t decode_earlier_leaders_ended(const Json& value) {
+std::uint64_t decode_earlier_holders_ended(const Json& value) {
   return wire::integer(value, "token");
 }
 
--- a/src/store/records.hpp
+++ b/src/store/records.hpp
@@ -19,9 +19,13 @@
 
 namespace asterstair::store {
 
+// Records of a newer form are not read: what they say may bind in ways that are not known here.
+inline constexpr std::uint64_t kRecordForm = 1;
+void require_known_form(const wire::Json& value);  // throws wire::BadMessage
+
 inline constexpr const char* kLeaderKey = "leader";
 // {"token": T}: all leaders before the term T have lost their entitlement. Written by the leader of
-// a contested term once that is so.
+// a contested term once that is so, see Lease::note_earlier_holders_ended().
 inline constexpr const char* kEarlierLeadersEndedKey = "earlier-leaders-ended";
 inline constexpr const char* kLivePrefix = "live/";
 inline constexpr const char* kProgressPrefix = "progress/";
@@ -47,16 +51,17 @@
 wire::Json encode_final(const FinalRecord& record);
 FinalRecord decode_final(const wire::Json& value);
 
-struct LeaderRecord {
+// Who holds a lease.
+struct HolderRecord {
   std::string node;
   std::uint64_t claim = 0;
-  // Whether an earlier leader may have been entitled still when the key was claimed.
+  // Whether an earlier holder may have been entitled still when the key was claimed.
   bool contested = false;
 };
-wire::Json encode_leader(const LeaderRecord& record);
-LeaderRecord decode_leader(const wire::Json& value);
-wire::Json encode_earlier_leaders_ended(std::uint64_t token);
-std::uint64_t decode_earlier_leaders_ended(
+wire::Json encode_holder(const HolderRecord& record);
+HolderRecord decode_holder(const wire::Json& value);  // throws BadMessage, of newer forms too
+wire::Json encode_earlier_holders_ended(std::uint64_t token);
+std::uint64_t decode_earlier_holders_ended(
     const wire::Json& value);  // the token; throws BadMessage
 
 // Progress: one bit a task, in hexadecimal, in chunks that fit a value.
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -446,7 +446,7 @@
 }
 
 // The leader reaches everything but its siblings: they replace it, and it must notice although its
-// grant is touched with success. Guard: Election::renew reads the key first.
+// grant is touched with success. Guard: Lease::renew reads the key first.
 TEST(SilentLeader, ThatIsCutFromItsSiblingsOnlyStepsDown) {
   Scenario s(74, 3, 5);
   for (int i = 0; i < 6; ++i) s.submit(array(6, 200));
@@ -482,7 +482,7 @@
 
 // A leader that has lost siblings and state service is replaced while it is still entitled, and a
 // part of the workers stays with it: until its entitlement is over it may renew their leases, so
-// their tasks must not start elsewhere. Guard: Election::earlier_leaders_end.
+// their tasks must not start elsewhere. Guard: Lease::earlier_holders_end.
 TEST(SilentLeader, WorkersThatItStillAnswersAreWaitedFor) {
   for (const std::uint64_t seed : {76, 77, 78}) {
     Scenario s(seed, 3, 5);
@@ -538,7 +538,7 @@
 
 // Long after a contested term has begun its leader ends. Its successor need not wait for leaders
 // before it: a machine that is not heard is waited for a lease, not a grant and a lease.
-// Guard: Election::note_earlier_leaders_ended.
+// Guard: Lease::note_earlier_holders_ended.
 TEST(SilentLeader, IsForgottenOnceItsEntitlementIsOver) {
   Scenario s(82, 3, 3);
   s.submit(array(8, 400));
