Machine duties: a lease and a ledger for renting and returning machines

Need: a leader that stands still between deciding and asking the cloud leaves its successor without knowledge of what was asked, and nothing refuses it when it wakes. Change: src/duties: the duty is held under a lease of its own by the node that leads; an operation is durable, conditional on both tokens, before the cloud is asked, and its result after. A new leader reads the ledger before it starts anything, keeps work off machines whose return is open, and completes what is open under the same names before it begins its own.

--- /dev/null
+++ b/src/base/features.hpp
@@ -0,0 +1,20 @@
+#pragma once
+// What is switched on by a features file (TOML); see deploy/features.toml.
+
+#include <string>
+#include <string_view>
+
+#include "base/settings.hpp"
+
+namespace asterstair {
+
+struct Features {
+  // A lease and a ledger for renting and returning machines, see docs/design/machine-duties.md.
+  bool machine_duties = false;
+};
+
+// Throw SettingsError, which names the field in one line.
+Features parse_features(std::string_view toml_text);
+Features load_features(const std::string& path);
+
+}  // namespace asterstair
--- a/src/cloud/cloud.cpp
+++ b/src/cloud/cloud.cpp
@@ -6,6 +6,9 @@
 namespace {
 
 constexpr auto kTimeout = 5s;
+// From clouds that check the fencing token: a newer one has been seen. The order stays as it is: if
+// this node holds the duty no more, its successor completes it.
+constexpr int kFenced = 409;
 // A new leader may start while calls of the last one still count.
 constexpr double kCallShare = 0.8;
 
@@ -26,8 +29,14 @@
 
 bool Cloud::may_call() { return calls_.wait_for(1, runtime_.now()) <= Duration::zero(); }
 
+void Cloud::count_call() { calls_.force(1, runtime_.now()); }
+
 void Cloud::call(HttpRequest request, HttpCallback done) {
-  calls_.force(1, runtime_.now());
+  count_call();
+  send(std::move(request), std::move(done));
+}
+
+void Cloud::send(HttpRequest request, HttpCallback done) {
   runtime_.http(address_, std::move(request), kTimeout,
                 [this, done = std::move(done)](HttpResponse r) {
                   if (r.status == 429) calls_.refused(runtime_.now(), 500ms);
@@ -46,7 +55,7 @@
 }
 
 void Cloud::rent(const wire::RentalRequest& request, std::function<void(RentResult)> done) {
-  call(wire::rent_request(request), [done = std::move(done)](const HttpResponse& r) {
+  send(wire::rent_request(request), [done = std::move(done)](const HttpResponse& r) {
     RentResult out;
     if (r.status == 200) {
       if (auto machines = guarded([&] { return wire::decode_rented(r.body); })) {
@@ -54,6 +63,8 @@
       }
     } else if (r.status == 503 && r.body.find("capacity") != std::string::npos) {
       out.outcome = RentResult::Outcome::NoCapacity;
+    } else if (r.status == kFenced) {
+      log::error("cloud: a rental was refused: {}", r.body);
     } else if (r.status == 429 || r.status == 503) {
       out.outcome = RentResult::Outcome::Refused;
     } else if (r.status == 400) {
@@ -64,9 +75,11 @@
   });
 }
 
-void Cloud::give_back(const std::vector<std::string>& machines, std::function<void(bool)> done) {
-  call(wire::return_request(machines),
-       [done = std::move(done)](const HttpResponse& r) { done(r.status == 200); });
+void Cloud::give_back(const wire::ReturnOrder& order, std::function<void(ReturnOutcome)> done) {
+  send(wire::return_request(order), [done = std::move(done)](const HttpResponse& r) {
+    if (r.status == kFenced) log::error("cloud: a return was refused: {}", r.body);
+    done(r.status == 200 ? ReturnOutcome::Gone : ReturnOutcome::Unknown);
+  });
 }
 
 void Cloud::list(const std::string& after,
--- a/src/cloud/cloud.hpp
+++ b/src/cloud/cloud.hpp
@@ -20,16 +20,21 @@
     std::vector<std::string> machines;
   };
 
-  // Whether a call may be made now; each call uses one.
+  enum class ReturnOutcome { Gone, Unknown };
+
+  // Whether a call may be made now; each call uses one. Those for rentals and returns are counted
+  // by the caller when it decides on them: they may be sent some time later.
   bool may_call();
+  void count_call();
   void machine_types(std::function<void(std::optional<std::vector<MachineType>>)> done);
   void rent(const wire::RentalRequest& request, std::function<void(RentResult)> done);
-  // True: the machines and all on them are gone.
-  void give_back(const std::vector<std::string>& machines, std::function<void(bool)> done);
+  // Gone: the machines and all on them.
+  void give_back(const wire::ReturnOrder& order, std::function<void(ReturnOutcome)> done);
   void list(const std::string& after, std::function<void(std::optional<wire::MachinePage>)> done);
 
  private:
   void call(HttpRequest request, HttpCallback done);
+  void send(HttpRequest request, HttpCallback done);
 
   Runtime& runtime_;
   std::string address_;
--- /dev/null
+++ b/src/duties/stored_ledger.cpp
@@ -0,0 +1,229 @@
+#include "duties/stored_ledger.hpp"
+
+#include "base/log.hpp"
+#include "duties/records.hpp"
+
+namespace asterstair::duties {
+namespace {
+
+constexpr auto kRetry = 500ms;
+// How often the durable records are compared with those known here. Transactions without an answer
+// may be carried out minutes later.
+constexpr auto kAuditEvery = 60s;
+// A list was asked for this long ago at the most.
+constexpr auto kListAge = 30s;
+
+}  // namespace
+
+// Wraps a callback so that it does nothing once the term is over.
+template <typename Action>
+auto StoredLedger::while_running(Action action) {
+  return [self = weak_from_this(), action = std::move(action)](const auto&... answer) {
+    const auto ledger = self.lock();
+    if (ledger && !ledger->stopped_) action(*ledger, answer...);
+  };
+}
+
+std::vector<Operation> StoredLedger::decode(const std::vector<wire::Item>& items) {
+  std::vector<Operation> out;
+  for (const auto& item : items) {
+    try {
+      out.push_back(decode_operation(item.key, *item.value));
+    } catch (const wire::BadMessage& e) {
+      // Left alone for an operator to look at: nothing is started for its sake.
+      if (!quarantined_.insert(item.key).second) continue;
+      log::error("ledger record {} is quarantined: {}", item.key, e.what());
+    }
+  }
+  return out;
+}
+
+void StoredLedger::load(std::function<void(std::vector<Operation>)> done) {
+  store_.list(kLedgerPrefix, while_running([done](StoredLedger& self, const store::ListResult& r) {
+                if (!r.ok) {
+                  self.runtime_.after(kRetry, self.while_running([done](StoredLedger& ledger) {
+                    ledger.load(done);
+                  }));
+                  return;
+                }
+                auto operations = self.decode(r.items);
+                for (const auto& o : operations) self.entries_[o.name].wanted = o;
+                for (const auto& item : r.items) {
+                  const auto name = item.key.substr(std::string_view(kLedgerPrefix).size());
+                  const auto entry = self.entries_.find(name);
+                  if (entry != self.entries_.end()) entry->second.version = item.version;
+                }
+                self.audit_later();
+                done(std::move(operations));
+              }));
+}
+
+void StoredLedger::begin(const Operation& operation, std::function<void(bool durable)> done) {
+  Entry& entry = entries_[operation.name];
+  entry.wanted = operation;
+  entry.begun = std::move(done);
+  write(operation.name);
+}
+
+void StoredLedger::update(const Operation& operation) {
+  const auto it = entries_.find(operation.name);
+  if (it == entries_.end()) return;
+  it->second.wanted = operation;
+  it->second.dirty = true;
+  write(operation.name);
+}
+
+void StoredLedger::remove(const std::string& name) {
+  const auto it = entries_.find(name);
+  if (it == entries_.end()) return;
+  it->second.removing = true;
+  it->second.dirty = true;
+  write(name);
+}
+
+// One write of a record is under way at a time: the next one needs the version that it gets.
+void StoredLedger::write(const std::string& name) {
+  Entry& entry = entries_.at(name);
+  if (entry.writing) return;
+  entry.writing = true;
+  entry.dirty = false;
+  wire::Txn txn;
+  txn.conditions = authority_.guards();
+  txn.conditions.push_back({ledger_key(name), entry.version});
+  const bool removal = entry.removing;
+  if (removal) {
+    txn.changes.push_back({ledger_key(name), std::nullopt});
+  } else {
+    txn.changes.push_back({ledger_key(name), encode_operation(entry.wanted)});
+  }
+  const auto urgency = entry.begun ? store::Urgency::Order : store::Urgency::Lazy;
+  store_.write(std::move(txn), urgency,
+               while_running([name, removal](StoredLedger& self, const store::WriteResult& r) {
+                 self.written(name, removal, r);
+               }));
+}
+
+void StoredLedger::write_later(const std::string& name) {
+  runtime_.after(kRetry, while_running([name](StoredLedger& self) {
+                   if (self.entries_.count(name) != 0) self.write(name);
+                 }));
+}
+
+void StoredLedger::written(const std::string& name, bool removal, const store::WriteResult& r) {
+  const auto it = entries_.find(name);
+  if (it == entries_.end()) return;
+  it->second.writing = false;
+  switch (r.outcome) {
+    case store::WriteOutcome::Committed:
+      committed(name, removal, r.revision);
+      break;
+    case store::WriteOutcome::NotDone:
+      not_done(name);
+      break;
+    case store::WriteOutcome::Unknown:
+      it->second.doubtful = true;
+      read_back(name);
+      break;
+    case store::WriteOutcome::Conflict:
+      // An earlier unanswered write was carried out, or the guards do not hold any more.
+      read_back(name);
+      break;
+  }
+}
+
+void StoredLedger::committed(const std::string& name, bool removal, std::uint64_t revision) {
+  Entry& entry = entries_.at(name);
+  if (removal) {
+    forget(name);
+    return;
+  }
+  entry.version = revision;
+  entry.doubtful = false;
+  if (const auto begun = std::exchange(entry.begun, nullptr)) begun(true);
+  // The callback may have recorded a result, or removed the entry.
+  const auto it = entries_.find(name);
+  if (it != entries_.end() && it->second.dirty) write(name);
+}
+
+void StoredLedger::not_done(const std::string& name) {
+  Entry& entry = entries_.at(name);
+  if (!entry.begun || entry.doubtful) {
+    write_later(name);
+    return;
+  }
+  const auto begun = std::move(entry.begun);
+  entries_.erase(name);
+  begun(false);
+}
+
+void StoredLedger::read_back(const std::string& name) {
+  entries_.at(name).writing = true;
+  store_.get(ledger_key(name),
+             while_running([name](StoredLedger& self, const store::ReadResult& r) {
+               self.read_back_answer(name, r);
+             }));
+}
+
+void StoredLedger::read_back_answer(const std::string& name, const store::ReadResult& r) {
+  const auto it = entries_.find(name);
+  if (it == entries_.end()) return;
+  Entry& entry = it->second;
+  entry.writing = false;
+  if (r.outcome == store::ReadOutcome::Unavailable) {
+    entry.writing = true;
+    runtime_.after(kRetry, while_running([name](StoredLedger& self) {
+                     if (self.entries_.count(name) != 0) self.read_back(name);
+                   }));
+    return;
+  }
+  if (r.outcome == store::ReadOutcome::Missing) {
+    entry.version = 0;
+    if (entry.removing || !entry.begun) {
+      forget(name);  // a removal was carried out
+    } else {
+      write_later(name);
+    }
+    return;
+  }
+  const bool was_begun_here = entry.begun && entry.version == 0;
+  entry.version = r.item.version;
+  if (was_begun_here) {
+    committed(name, false, r.item.version);
+  } else {
+    write_later(name);
+  }
+}
+
+void StoredLedger::forget(const std::string& name) {
+  entries_.erase(name);
+  removed_[name] = runtime_.now();
+}
+
+void StoredLedger::audit_later() {
+  runtime_.after(kAuditEvery, while_running([](StoredLedger& self) { self.audit(); }));
+}
+
+void StoredLedger::audit() {
+  audit_later();
+  std::erase_if(removed_,
+                [now = runtime_.now()](const auto& r) { return now - r.second > kListAge; });
+  store_.list(kLedgerPrefix, while_running([](StoredLedger& self, const store::ListResult& r) {
+                if (r.ok) self.compare(r.items);
+              }));
+}
+
+// A beginning that was given up without an answer may have been carried out since.
+void StoredLedger::compare(const std::vector<wire::Item>& items) {
+  for (auto& operation : decode(items)) {
+    if (entries_.count(operation.name) != 0 || removed_.count(operation.name) != 0) continue;
+    log::info("operation {} has turned up late", operation.name);
+    Entry& entry = entries_[operation.name];
+    entry.wanted = operation;
+    for (const auto& item : items) {
+      if (item.key == ledger_key(operation.name)) entry.version = item.version;
+    }
+    if (found_) found_(std::move(operation));
+  }
+}
+
+}  // namespace asterstair::duties
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -90,8 +90,8 @@
 }
 
 bool Fleet::usable(const Machine& m, TimePoint now) const {
-  return m.reported && !m.silent && !m.draining && !m.faulty && !m.goes_at &&
-         !m.unresponsive_since && now >= m.no_room_until && now >= m.paused_until &&
+  return m.reported && !m.silent && m.service == Machine::Service::InUse && !m.faulty &&
+         !m.goes_at && !m.unresponsive_since && now >= m.no_room_until && now >= m.paused_until &&
          now - m.last_report < settings_.report_every * 5 / 2 + 1s;
 }
 
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -85,6 +85,14 @@
 
   // Wanted by the autoscaler: no new work for the machine; what is on it ends or is stopped.
   void drain(const std::string& machine);
+  // The machine's return is about to be made durable, or an earlier leader has made it so: the
+  // cloud may take it any moment. No work for it, not even if it is heard of for the first time.
+  void begin_return(const std::string& machine);
+  // Whether the machine gets no new work and has none.
+  bool known_empty(const std::string& machine) const;
+  // The returns that earlier leaders have made durable have all been told of. Nothing is started,
+  // and no report answered, before.
+  void open_returns_known();
   // Empties one costly machine whose tasks can save and fit on others in use, if there is one
   // that may be spared.
   void consolidate(const std::function<bool(const Machine&)>& spare);
@@ -97,6 +105,8 @@
   void load();
   void load_progress();
   void load_roster();
+  void add_roster_chunk(const wire::Item& item);
+  void finish_loading();
   void watch(std::uint64_t after, Duration wait);
   void reload_later();
   void add_live(const wire::Item& item);
@@ -193,6 +203,7 @@
   TimePoint elected_at_{}, earlier_leaders_end_{}, heard_at_{}, next_plan_{}, next_preempt_{},
       summed_up_at_{};
   TimePoint view_asked_at_{};  // of the newest view that has arrived
+  bool roster_loaded_ = false, open_returns_known_ = false;
   bool stopped_ = false, loaded_ = false, settled_ = false, plan_wanted_ = false, plan_due_ = false;
   bool starts_held_ = false, heard_any_ = false;
   std::deque<Direct> directs_;
@@ -203,7 +214,8 @@
   std::uint64_t live_revision_ = 0;
   Jobs jobs_;
   Machines machines_;
-  std::set<std::string> gone_;  // returned during this term
+  std::set<std::string> gone_;       // returned during this term, or before as the ledger tells
+  std::set<std::string> returning_;  // as far as begin_return() has told
   // Versions of the keys that only the leader writes. A write that was never answered may be
   // carried out late; being conditional on the version, it cannot then undo a newer one.
   std::map<std::string, std::uint64_t> versions_;
--- a/src/fleet/loading.cpp
+++ b/src/fleet/loading.cpp
@@ -105,33 +105,44 @@
       return;
     }
     f->roster_.clear();
-    for (const auto& item : r.items) {
-      f->versions_[item.key] = item.version;
-      std::set<std::string> chunk;
-      try {
-        for (auto& m : store::decode_roster(*item.value)) chunk.insert(std::move(m));
-      } catch (const wire::BadMessage& e) {
-        log::error("roster is malformed: {}", e.what());
-      }
-      for (const auto& id : chunk) {
-        Machine& m = f->machines_.at(id);
-        m.id = id;
-        m.rostered = true;
-        if (!m.reported && !m.silent) f->awaited_.insert(id);
-        // No earlier leader answers after that; its answers renewed no later.
-        if (m.last_answered == TimePoint{}) m.last_answered = f->earlier_leaders_end_;
-      }
-      f->roster_.push_back(std::move(chunk));
-    }
+    for (const auto& item : r.items) f->add_roster_chunk(item);
     f->roster_stale_ = true;
-    f->loaded_ = true;
-    log::info("term {}: {} live jobs, {} machines to hear from", f->token_, f->jobs_.all().size(),
-              f->machines_.all().size());
-    f->watch(f->live_revision_, f->watch_wait_);
-    f->check_settled();
+    f->roster_loaded_ = true;
+    f->finish_loading();
   });
 }
 
+void Fleet::add_roster_chunk(const wire::Item& item) {
+  versions_[item.key] = item.version;
+  std::set<std::string> chunk;
+  try {
+    for (auto& m : store::decode_roster(*item.value)) chunk.insert(std::move(m));
+  } catch (const wire::BadMessage& e) {
+    log::error("roster is malformed: {}", e.what());
+  }
+  for (const auto& id : chunk) {
+    // The ledger, which may have been read before, tells that it has been returned.
+    if (gone_.count(id) != 0) continue;
+    Machine& m = machines_.at(id);
+    m.id = id;
+    m.rostered = true;
+    if (returning_.count(id) != 0) m.service = Machine::Service::Returning;
+    if (!m.reported && !m.silent) awaited_.insert(id);
+    // No earlier leader answers after that; its answers renewed no later.
+    if (m.last_answered == TimePoint{}) m.last_answered = earlier_leaders_end_;
+  }
+  roster_.push_back(std::move(chunk));
+}
+
+void Fleet::finish_loading() {
+  if (loaded_ || !roster_loaded_ || !open_returns_known_) return;
+  loaded_ = true;
+  log::info("term {}: {} live jobs, {} machines to hear from", token_, jobs_.all().size(),
+            machines_.all().size());
+  watch(live_revision_, watch_wait_);
+  check_settled();
+}
+
 void Fleet::watch(std::uint64_t after, Duration wait) {
   // The view is as old as the question: an answer may have been held up on its way.
   const auto asked = runtime_.now();
--- a/src/fleet/machines.hpp
+++ b/src/fleet/machines.hpp
@@ -66,7 +66,12 @@
   bool silent = false;  // its lease has surely run out: nothing runs there
   TimePoint first_report{}, last_report{}, last_answered{};
   std::optional<TimePoint> goes_at;  // spot notice
-  bool draining = false;
+  // What it is there for. There is no way back.
+  enum class Service {
+    InUse,
+    Draining,  // no new work; what is on it ends or is stopped
+    Returning  // the same, and its return is, or may be, durable: the cloud may take it any moment
+  } service = Service::InUse;
   bool faulty = false;
   bool rostered = false;  // durable: a later leader will wait for it
   TimePoint no_room_until{}, paused_until{};
--- a/src/fleet/moving.cpp
+++ b/src/fleet/moving.cpp
@@ -25,7 +25,26 @@
 }  // namespace
 
 void Fleet::drain(const std::string& id) {
-  if (Machine* m = machines_.find(id)) m->draining = true;
+  Machine* m = machines_.find(id);
+  if (m != nullptr && m->service == Machine::Service::InUse)
+    m->service = Machine::Service::Draining;
+}
+
+// Also of a machine that has not been heard of: it may come up before the cloud takes it.
+void Fleet::begin_return(const std::string& id) {
+  returning_.insert(id);
+  if (Machine* m = machines_.find(id)) m->service = Machine::Service::Returning;
+}
+
+bool Fleet::known_empty(const std::string& id) const {
+  const Machine* m = machines_.find(id);
+  return m != nullptr && m->reported && m->service != Machine::Service::InUse &&
+         m->occupants.empty();
+}
+
+void Fleet::open_returns_known() {
+  open_returns_known_ = true;
+  finish_loading();
 }
 
 // Whether all that runs there is worth moving: it can save, and has more left than a move costs;
@@ -117,7 +136,7 @@
 // Its tasks that save are stopped, to go on elsewhere; the others end soon.
 void Fleet::empty(Machine& m) {
   log::info("machine {} is emptied: others have room for its tasks", m.id);
-  m.draining = true;
+  m.service = Machine::Service::Draining;
   for (auto& [key, o] : m.occupants) {
     if (o.holds_room() && o.job->checkpoint.count() > 0) {
       stop_occupant(m, o, o.job->save + Seconds(settings_.gang_peer));
@@ -147,6 +166,10 @@
 }
 
 void Fleet::machine_gone(const std::string& id) {
+  returning_.erase(id);
+  // Names come in the order of the rentals: the oldest are the least likely to be heard of again.
+  gone_.insert(id);
+  if (gone_.size() > kMostGone) gone_.erase(gone_.begin());
   Machine* m = machines_.find(id);
   if (m == nullptr) return;
   Events events;
@@ -157,9 +180,6 @@
   machines_.erase(id);
   roster_stale_ = true;
   awaited_.erase(id);
-  // Names come in the order of the rentals: the oldest are the least likely to be heard of again.
-  gone_.insert(id);
-  if (gone_.size() > kMostGone) gone_.erase(gone_.begin());
   check_settled();
 }
 
--- a/src/fleet/reports.cpp
+++ b/src/fleet/reports.cpp
@@ -55,7 +55,10 @@
   // The cloud has confirmed that it is gone, and names are not used twice: a late copy.
   if (gone_.count(r.machine) != 0) return {200, wire::encode_commands(token_, {})};
   Machine& m = machines_.at(r.machine);
-  if (m.id.empty()) m.id = r.machine;
+  if (m.id.empty()) {
+    m.id = r.machine;
+    if (returning_.count(m.id) != 0) m.service = Machine::Service::Returning;
+  }
   // An answer renews the worker's lease from when the report was sent. A report that is not newer
   // than one that has arrived was sent before that one arrived, so an answer to it can renew the
   // lease no further than what was counted then. Late copies must not keep a dead machine's
--- a/src/lease/acquisition.cpp
+++ b/src/lease/acquisition.cpp
@@ -152,6 +152,7 @@
 
 void Lease::write_claim(std::uint64_t expected_version, bool contested) {
   wire::Txn txn;
+  if (options_.claim_conditions) txn.conditions = options_.claim_conditions();
   txn.conditions.push_back({options_.key, expected_version});
   txn.changes.push_back({options_.key,
                          store::encode_holder({options_.node, pending_.id, contested}),
@@ -163,7 +164,11 @@
                    acquire(r.revision, contested);
                  } else if (r.outcome == store::WriteOutcome::Conflict) {
                    store_.drop_grant(pending_.grant);
-                   check();
+                   if (options_.claim_conditions) {
+                     check_later(kCheckRetry);  // they may be what does not hold
+                   } else {
+                     check();
+                   }
                  } else {
                    check_later(kCheckRetry);  // reading the key tells whether it was carried out
                  }
--- a/src/lease/lease.hpp
+++ b/src/lease/lease.hpp
@@ -23,6 +23,8 @@
   std::string node;  // the candidate
   Duration ttl{};    // of the grant
   HeldByAnother held_by_another = HeldByAnother::Wait;
+  // Further conditions of a claim; none if empty.
+  std::function<std::vector<wire::Condition>()> claim_conditions{};
   // Key of the note that all holders before a contested term have lost their entitlement; empty: no
   // such note is kept.
   std::string bound_note_key{};
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <iostream>
 
+#include "base/features.hpp"
 #include "base/log.hpp"
 #include "net/http_server.hpp"
 #include "net/loop.hpp"
@@ -18,9 +19,9 @@
 constexpr std::size_t kLeastBuffered = std::size_t{1} * 1024 * 1024;
 
 // Serves until the process is killed.
-void serve(const Settings& settings) {
+void serve(const Settings& settings, const Features& features) {
   net::LoopRuntime runtime(settings);
-  Node node(runtime, settings);
+  Node node(runtime, settings, features);
   net::HttpServer::Limits limits;
   // The rest is for the node's own connections: state service, cloud, siblings.
   limits.connections = settings.max_connections * 13 / 16;
@@ -41,15 +42,19 @@
 int run(int argc, char** argv) {
   CLI::App app{"asterstair: a cluster scheduler. Logging level: LOG_LEVEL=error|info|debug."};
   std::string config;
+  std::string features_file;
   bool check = false;
   app.set_version_flag("--version", std::string("asterstair ") + ASTERSTAIR_VERSION);
   app.add_option("--config", config, "Settings file (TOML)")->required();
+  app.add_option("--features", features_file, "Features file (TOML); without it all are off");
   app.add_flag("--check", check, "Check the settings file and exit");
   CLI11_PARSE(app, argc, argv);
 
   Settings settings;
+  Features features;
   try {
     settings = load_settings(config);
+    if (!features_file.empty()) features = load_features(features_file);
   } catch (const SettingsError& e) {
     std::cerr << e.what() << '\n';
     return 2;
@@ -60,7 +65,7 @@
   }
   std::signal(SIGPIPE, SIG_IGN);
   log::init(settings.node);
-  serve(settings);
+  serve(settings, features);
   return 0;
 }
 
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -6,10 +6,12 @@
 #include <string>
 
 #include "autoscale/autoscale.hpp"
+#include "base/features.hpp"
 #include "base/runtime.hpp"
 #include "base/settings.hpp"
 #include "cloud/catalog.hpp"
 #include "cloud/cloud.hpp"
+#include "duties/machine_duties.hpp"
 #include "fleet/fleet.hpp"
 #include "frontend/frontend.hpp"
 #include "leader/election.hpp"
@@ -22,7 +24,7 @@
 
 class Node {
  public:
-  Node(Runtime& runtime, Settings settings);
+  Node(Runtime& runtime, Settings settings, const Features& features = {});
   void start();
   void handle(HttpRequest request, const std::function<void(HttpResponse)>& respond);
   void peer_message(const std::string& message);
@@ -51,6 +53,7 @@
   cloud::Catalog catalog_;
   frontend::Frontend frontend_;
   leader::Election election_;
+  duties::MachineDuties machine_duties_;
   std::shared_ptr<fleet::Fleet> fleet_;
   std::shared_ptr<autoscale::Autoscaler> autoscaler_;
   SiblingTable siblings_;
--- a/src/store/write_queue.hpp
+++ b/src/store/write_queue.hpp
@@ -13,8 +13,9 @@
 
 namespace asterstair::store {
 
-// Lower goes first.
-enum class Urgency { User, Final, Start, Lazy };
+// Lower goes first. Order: what must be durable before the cloud is asked; few, and a boot waits.
+enum class Urgency { Order, User, Final, Start, Lazy };
+inline constexpr std::size_t kUrgencies = 5;
 
 class WriteQueue {
  public:
@@ -57,7 +58,7 @@
   Budget changes_;
   std::size_t txn_ops_, most_bytes_;
   bool full_told_ = false;
-  std::array<Queue, 4> queues_;  // by urgency
+  std::array<Queue, kUrgencies> queues_;  // by urgency
   std::size_t in_flight_ = 0;
   WakeTimer wake_;
 };
--- a/src/wire/cloud.cpp
+++ b/src/wire/cloud.cpp
@@ -46,12 +46,13 @@
 }
 
 HttpRequest rent_request(const RentalRequest& r) {
-  return {"POST", "/machines",
-          dump({{name::kRequest, r.request},
-                {name::kType, r.type},
-                {name::kZone, r.zone},
-                {name::kSpot, r.spot},
-                {name::kCount, r.count}})};
+  Json body = {{name::kRequest, r.request},
+               {name::kType, r.type},
+               {name::kZone, r.zone},
+               {name::kSpot, r.spot},
+               {name::kCount, r.count}};
+  if (r.token != 0) body[name::kToken] = r.token;
+  return {"POST", "/machines", dump(body)};
 }
 
 std::vector<std::string> decode_rented(const std::string& body) {
@@ -63,8 +64,11 @@
   return out;
 }
 
-HttpRequest return_request(const std::vector<std::string>& machines) {
-  return {"POST", "/machines/return", dump({{name::kMachines, machines}})};
+HttpRequest return_request(const ReturnOrder& order) {
+  Json body = {{name::kMachines, order.machines}};
+  if (!order.request.empty()) body[name::kRequest] = order.request;
+  if (order.token != 0) body[name::kToken] = order.token;
+  return {"POST", "/machines/return", dump(body)};
 }
 
 HttpRequest list_request(const std::string& after) {
--- a/src/wire/cloud.hpp
+++ b/src/wire/cloud.hpp
@@ -18,6 +18,14 @@
   std::string request, type, zone;
   bool spot = false;
   std::size_t count = 0;
+  // The fencing token of whoever asks, for clouds that check it; 0: not offered. Others ignore it.
+  std::uint64_t token = 0;
+};
+
+struct ReturnOrder {
+  std::vector<std::string> machines;
+  std::string request;      // the operation's name, for the record; empty: not offered
+  std::uint64_t token = 0;  // as in RentalRequest
 };
 
 struct MachinePage {
@@ -31,7 +39,7 @@
 
 HttpRequest rent_request(const RentalRequest& rental);
 std::vector<std::string> decode_rented(const std::string& body);
-HttpRequest return_request(const std::vector<std::string>& machines);
+HttpRequest return_request(const ReturnOrder& order);
 HttpRequest list_request(const std::string& after);
 MachinePage decode_machines(const std::string& body);
 
