--- /dev/null
+++ b/tests/load/duty_takeover.cpp
@@ -0,0 +1,66 @@
+// Time from the end of the node that rents machines to the first rental of its successor, and what
+// the ledger writes, over seeds in simulated time; with the duty's records and without.
+//
+// Usage: asterstair_duty_takeover [runs] [machines per pool]
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <vector>
+
+#include "sim/scenario.hpp"
+
+namespace {
+
+using namespace sim;
+
+struct Result {
+  double seconds = 0;  // to the first rental
+  std::uint64_t writes = 0, bytes = 0;
+  std::size_t rentals = 0;
+};
+
+Result take_over(std::uint64_t seed, std::size_t per_pool, bool recorded) {
+  Scenario s(seed, per_pool, 3, {}, Features{recorded});
+  const auto fill = static_cast<std::uint32_t>(per_pool * 16);
+  s.submit(array(fill, 400));
+  s.world.run_until(60);
+  s.crash(s.leader(), 300);
+  // More work than the machines hold: the successor is to rent at once.
+  s.submit(array(fill, 400));
+  const auto before = s.cloud.orders.rentals_asked.size();
+  double t = 60;
+  while (s.cloud.orders.rentals_asked.size() == before && t < 160) s.world.run_until(t += 0.1);
+  return {t - 60, s.state.writes, s.state.bytes_written, s.cloud.orders.rentals_asked.size()};
+}
+
+void measure(std::size_t runs, std::size_t per_pool, bool recorded) {
+  std::vector<Result> results;
+  for (std::size_t i = 0; i < runs; ++i) results.push_back(take_over(100 + i, per_pool, recorded));
+  std::sort(results.begin(), results.end(),
+            [](const Result& a, const Result& b) { return a.seconds < b.seconds; });
+  Result sum;
+  for (const auto& r : results) {
+    sum.writes += r.writes;
+    sum.bytes += r.bytes;
+    sum.rentals += r.rentals;
+  }
+  std::printf(
+      "%s: %zu runs, first rental after %.1f s (median), %.1f s (worst); %llu writes, %llu "
+      "bytes, %zu rentals in all\n",
+      recorded ? "recorded" : "unrecorded", runs, results[runs / 2].seconds, results.back().seconds,
+      static_cast<unsigned long long>(sum.writes), static_cast<unsigned long long>(sum.bytes),
+      sum.rentals);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  spdlog::set_level(spdlog::level::off);
+  const auto runs = argc > 1 ? std::strtoul(argv[1], nullptr, 10) : 20UL;
+  const auto per_pool = argc > 2 ? std::strtoul(argv[2], nullptr, 10) : 6UL;
+  if (runs == 0) return 2;
+  measure(runs, per_pool, false);
+  measure(runs, per_pool, true);
+  return 0;
+}
