--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,6 +6,7 @@
 
 #include "base/features.hpp"
 #include "base/log.hpp"
+#include "duties/console.hpp"
 #include "net/http_server.hpp"
 #include "net/loop.hpp"
 #include "node/node.hpp"
@@ -39,14 +40,39 @@
   runtime.run();
 }
 
+// Carries out an operator's command on the machine duty; 1 if that failed.
+int command_duty(const std::string& command, const Settings& settings) {
+  net::LoopRuntime runtime(settings);
+  store::Store store(runtime, settings);
+  duties::Console console(store);
+  int status = 1;
+  const auto done = [&](bool ok, const std::vector<std::string>& lines) {
+    for (const auto& line : lines) std::cout << line << '\n';
+    status = ok ? 0 : 1;
+    uv_stop(runtime.loop());
+  };
+  if (command == "show") {
+    console.show(done);
+  } else if (command == "hand-over") {
+    console.hand_over(done);
+  } else {
+    console.pause(command == "pause", done);
+  }
+  runtime.run();
+  return status;
+}
+
 int run(int argc, char** argv) {
   CLI::App app{"asterstair: a cluster scheduler. Logging level: LOG_LEVEL=error|info|debug."};
   std::string config;
   std::string features_file;
+  std::string duty_command;
   bool check = false;
   app.set_version_flag("--version", std::string("asterstair ") + ASTERSTAIR_VERSION);
   app.add_option("--config", config, "Settings file (TOML)")->required();
   app.add_option("--features", features_file, "Features file (TOML); without it all are off");
+  app.add_option("--machine-duty", duty_command, "Show or change who rents machines, and exit")
+      ->check(CLI::IsMember({"show", "pause", "resume", "hand-over"}));
   app.add_flag("--check", check, "Check the settings file and exit");
   CLI11_PARSE(app, argc, argv);
 
@@ -65,6 +91,7 @@
   }
   std::signal(SIGPIPE, SIG_IGN);
   log::init(settings.node);
+  if (!duty_command.empty()) return command_duty(duty_command, settings);
   serve(settings, features);
   return 0;
 }
--- a/tests/duties_test.cpp
+++ b/tests/duties_test.cpp
@@ -4,6 +4,7 @@
 
 #include <sstream>
 
+#include "duties/console.hpp"
 #include "duties/records.hpp"
 #include "lease/lease.hpp"
 #include "sim/scenario.hpp"
@@ -278,6 +279,50 @@
   expect_clean_end(s, {job}, 400);
 }
 
+// What the operator's command shows and changes, from beside the nodes.
+TEST(OperatorCommand, ShowsHolderOperationsAndWhatCannotBeReadAndPausesAndHandsOver) {
+  Scenario s(95);
+  const auto job = s.submit(array(8, 20));
+  s.state.put(std::string(kLedgerPrefix) + "x", Json::object());
+  s.world.run_until(12);
+  SimRuntime runtime(s.world, "operator", [](const std::string&, const std::string&) {});
+  const auto settings = parse_settings(settings_text(0, 3, {}));
+  store::Store store(runtime, settings);
+  Console console(store);
+  std::string text;
+  bool good = false;
+  const auto done = [&](bool ok, const std::vector<std::string>& lines) {
+    good = ok;
+    text.clear();
+    for (const auto& line : lines) text += line + "\n";
+  };
+  console.show(done);
+  s.world.run_until(13);
+  EXPECT_TRUE(good);
+  const int holder = s.leader();
+  EXPECT_NE(text.find("held by " + s.name(holder) + " with token " + std::to_string(duty_token(s))),
+            std::string::npos);
+  EXPECT_NE(text.find("in service"), std::string::npos);
+  EXPECT_NE(text.find("granted: rent"), std::string::npos);
+  EXPECT_NE(text.find("ledger/machines/x cannot be read"), std::string::npos) << text;
+  console.pause(true, done);
+  s.world.run_until(14);
+  EXPECT_TRUE(good);
+  EXPECT_EQ(s.state.keys().at(kControlKey).first["paused"], true);
+  console.pause(false, done);
+  s.world.run_until(15);
+  console.hand_over(done);
+  s.world.run_until(40);
+  EXPECT_TRUE(good);
+  EXPECT_NE(s.leader(), holder);
+  s.state.outage(true);
+  console.show(done);
+  s.world.run_until(60);
+  EXPECT_FALSE(good);
+  s.state.outage(false);
+  expect_clean_end(s, {job}, 400);
+}
+
 class BadRecord : public testing::TestWithParam<std::tuple<const char*, const char*>> {};
 
 // Nothing is started for its sake, nothing ends, and the rest goes on.
