--- a/tests/duties_test.cpp
+++ b/tests/duties_test.cpp
@@ -121,7 +121,8 @@
     if (returning.count(Json::parse(request.body)["host"].get<std::string>()) == 0) return;
     for (const auto& c : Json::parse(r.body)["orders"]) started += c["verb"] == "run" ? 1 : 0;
   };
-  const auto second = s.submit(array(8, 20));
+  // More than all machines hold.
+  const auto second = s.submit(array(60, 20));
   s.world.run_until(s.world.t() + 60);
   EXPECT_EQ(started, 0U);
   hold = false;
