Operations are sent again later in one place

Need: the timer that sends an operation again stood four times with other delays. Change: send_later takes the delay; the three copies call it. Behaviour is as before.

--- a/src/duties/machine_operations.cpp
+++ b/src/duties/machine_operations.cpp
@@ -121,7 +121,7 @@
   // that the packet leaves late, does no harm: the order stands in the ledger, and its successor
   // completes it under the same name.
   if (!authority_.entitled() || (!counted && !cloud_.may_call())) {
-    send_later(name);
+    send_later(name, kSendAgain);
     return;
   }
   if (!counted) cloud_.count_call();
@@ -133,8 +133,8 @@
   }
 }
 
-void MachineOperations::send_later(const std::string& name) {
-  runtime_.after(kSendAgain, [self = weak_from_this(), name] {
+void MachineOperations::send_later(const std::string& name, Duration delay) {
+  runtime_.after(delay, [self = weak_from_this(), name] {
     if (const auto o = self.lock(); o && !o->stopped_) o->send(name, false);
   });
 }
@@ -174,9 +174,7 @@
     case Outcome::Unknown:
       // It may have been carried out: asked again under its name, until it is known.
       unanswered_.insert(name);
-      runtime_.after(kRepeatRental, [self = weak_from_this(), name] {
-        if (const auto o = self.lock(); o && !o->stopped_) o->send(name, false);
-      });
+      send_later(name, kRepeatRental);
       break;
   }
 }
@@ -184,9 +182,7 @@
 // The cloud was over its limit, or in trouble: surely not carried out this time.
 void MachineOperations::withdraw_or_repeat(const std::string& name) {
   if (unanswered_.count(name) != 0) {
-    runtime_.after(kRepeatRental, [self = weak_from_this(), name] {
-      if (const auto o = self.lock(); o && !o->stopped_) o->send(name, false);
-    });
+    send_later(name, kRepeatRental);
     return;
   }
   const Operation withdrawn = finish(name, OperationState::Withdrawn);
@@ -211,9 +207,7 @@
 void MachineOperations::return_answered(const std::string& name,
                                         cloud::Cloud::ReturnOutcome outcome) {
   if (outcome != cloud::Cloud::ReturnOutcome::Gone) {
-    runtime_.after(kRepeatReturn, [self = weak_from_this(), name] {
-      if (const auto o = self.lock(); o && !o->stopped_) o->send(name, false);
-    });
+    send_later(name, kRepeatReturn);
     return;
   }
   const Operation confirmed = finish(name, OperationState::Confirmed);
--- a/src/duties/machine_operations.hpp
+++ b/src/duties/machine_operations.hpp
@@ -56,7 +56,7 @@
   void begin(Operation operation);
   std::string next_name(char prefix);
   void send(const std::string& name, bool counted);
-  void send_later(const std::string& name);
+  void send_later(const std::string& name, Duration delay);
   void send_rental(const Operation& operation);
   void send_return(const Operation& operation);
   void rental_answered(const std::string& name, const cloud::Cloud::RentResult& result);
