--- a/review/world/world.cpp
+++ b/review/world/world.cpp
@@ -268,11 +268,117 @@
   std::erase_if(watches_, [this](Watch& watch) { return answer(watch, now() >= watch.until); });
 }
 
+// ---- Relay ----
+
+/// Both ends of a relayed connection. Only the accepted end sends.
+struct Relay::Pipe {
+  Relay* owner = nullptr;
+  uv_tcp_t from{}, to{};
+  uv_connect_t connect{};
+  bool connected = false, closing = false;
+  int open_handles = 2;
+  char buffer[65536];
+
+  struct Write {
+    uv_write_t request{};
+    std::string data;
+  };
+
+  void close() {
+    if (closing) return;
+    closing = true;
+    owner->pipes_.erase(this);
+    const auto closed = [](uv_handle_t* handle) {
+      auto* pipe = static_cast<Pipe*>(handle->data);
+      if (--pipe->open_handles == 0) delete pipe;
+    };
+    uv_close(reinterpret_cast<uv_handle_t*>(&from), closed);
+    uv_close(reinterpret_cast<uv_handle_t*>(&to), closed);
+  }
+};
+
+Relay::Relay(uv_loop_t* loop, std::string target) : loop_(loop), target_(std::move(target)) {
+  sockaddr_in address{};
+  uv_ip4_addr("127.0.0.1", 0, &address);
+  uv_tcp_init(loop_, &listener_);
+  listener_.data = this;
+  uv_tcp_bind(&listener_, reinterpret_cast<const sockaddr*>(&address), 0);
+  int size = sizeof address;
+  uv_tcp_getsockname(&listener_, reinterpret_cast<sockaddr*>(&address), &size);
+  port_ = ntohs(address.sin_port);
+  uv_listen(reinterpret_cast<uv_stream_t*>(&listener_), 64, [](uv_stream_t* listener, int status) {
+    if (status == 0) static_cast<Relay*>(listener->data)->accept();
+  });
+}
+
+void Relay::accept() {
+  auto* pipe = new Pipe;
+  pipe->owner = this;
+  uv_tcp_init(loop_, &pipe->from);
+  uv_tcp_init(loop_, &pipe->to);
+  pipe->from.data = pipe->to.data = pipe->connect.data = pipe;
+  pipes_.insert(pipe);
+  if (uv_accept(reinterpret_cast<uv_stream_t*>(&listener_),
+                reinterpret_cast<uv_stream_t*>(&pipe->from)) != 0) {
+    pipe->close();
+    return;
+  }
+  const auto colon = target_.rfind(':');
+  sockaddr_in address{};
+  uv_ip4_addr(target_.substr(0, colon).c_str(), std::stoi(target_.substr(colon + 1)), &address);
+  uv_tcp_connect(&pipe->connect, &pipe->to, reinterpret_cast<const sockaddr*>(&address),
+                 [](uv_connect_t* request, int status) {
+                   auto* connected = static_cast<Pipe*>(request->data);
+                   if (connected->closing) return;
+                   if (status != 0) {
+                     connected->close();
+                     return;
+                   }
+                   connected->connected = true;
+                   if (!connected->owner->cut_) read(connected);
+                 });
+}
+
+void Relay::read(Pipe* pipe) {
+  uv_read_start(
+      reinterpret_cast<uv_stream_t*>(&pipe->from),
+      [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
+        auto* reader = static_cast<Pipe*>(handle->data);
+        *buffer = uv_buf_init(reader->buffer, sizeof reader->buffer);
+      },
+      [](uv_stream_t* stream, ssize_t size, const uv_buf_t* buffer) {
+        auto* reader = static_cast<Pipe*>(stream->data);
+        if (size < 0) {
+          reader->close();
+          return;
+        }
+        auto* write = new Pipe::Write;
+        write->data.assign(buffer->base, static_cast<std::size_t>(size));
+        write->request.data = write;
+        const uv_buf_t out =
+            uv_buf_init(write->data.data(), static_cast<unsigned>(write->data.size()));
+        uv_write(&write->request, reinterpret_cast<uv_stream_t*>(&reader->to), &out, 1,
+                 [](uv_write_t* request, int) { delete static_cast<Pipe::Write*>(request->data); });
+      });
+}
+
+void Relay::set_cut(bool cut) {
+  cut_ = cut;
+  for (auto* pipe : pipes_) {
+    if (cut) {
+      uv_read_stop(reinterpret_cast<uv_stream_t*>(&pipe->from));
+    } else if (pipe->connected) {
+      read(pipe);
+    }
+  }
+}
+
 // ---- Deployment ----
 
 World::World(Config settings) : config(std::move(settings)) {
   const auto seed = static_cast<std::uint64_t>(setting("SEED", 0));
   rng.seed(seed != 0 ? seed : std::random_device{}());
+  std::signal(SIGPIPE, SIG_IGN);  // a write to a killed process must not end this one
   record_file = std::fopen(config.record.c_str(), "w");
   uv_loop_init(&loop_);
   uv_timer_init(&loop_, &timer_);
@@ -282,22 +388,45 @@
   state.value_bytes = static_cast<std::size_t>(config.value_kb * 1024);
   state.max_changes = static_cast<std::size_t>(config.txn_ops);
   worker_port_ = free_port();
-  servers_.push_back(std::make_unique<HttpServer>(
-      &loop_, service_limits(), [this](const HttpRequest& request, const Respond& respond) {
-        state.handle(request, respond);
-      }));
-  servers_.back()->listen("127.0.0.1:" + std::to_string(free_port()));
   servers_.push_back(std::make_unique<HttpServer>(
       &loop_, service_limits(), [this](const HttpRequest& request, const Respond& respond) {
         respond(handle_cloud(request));
       }));
-  servers_.back()->listen("127.0.0.1:" + std::to_string(free_port()));
-  for (int i = 0; i < config.nodes; ++i) {
-    nodes_.push_back({loopback(free_port()), loopback(free_port()), 0});
+  servers_.back()->listen(loopback(free_port()));
+  nodes_.resize(static_cast<std::size_t>(config.nodes));
+  for (auto& node : nodes_) {
+    node.api = loopback(free_port());
+    node.gossip = loopback(free_port());
+    node.state = std::make_unique<HttpServer>(
+        &loop_, service_limits(),
+        [this, &node](const HttpRequest& request, const Respond& respond) {
+          if (node.cut) return;
+          state.handle(request, [&node, respond](HttpResponse response) {
+            if (!node.cut) respond(std::move(response));
+          });
+        });
+    node.state->listen(loopback(free_port()));
+  }
+  for (auto& node : nodes_) {
+    for (int i = 0; i < config.nodes; ++i) {
+      const auto& other = nodes_[static_cast<std::size_t>(i)];
+      if (&other != &node) node.to[i] = std::make_unique<Relay>(&loop_, other.gossip);
+    }
   }
   for (int i = 0; i < config.nodes; ++i) write_settings(i);
 }
 
+void World::cut_node(int node, bool cut) {
+  record("node ghat-%d: %s from the state service and the other nodes", node,
+         cut ? "cut" : "no longer cut");
+  nodes_[static_cast<std::size_t>(node)].cut = cut;
+  for (int i = 0; i < config.nodes; ++i) {
+    for (auto& [other, relay] : nodes_[static_cast<std::size_t>(i)].to) {
+      if (i == node || other == node) relay->set_cut(cut);
+    }
+  }
+}
+
 World::~World() {
   for (int i = 0; i < config.nodes; ++i) kill_node(i);
 }
@@ -312,10 +441,10 @@
   for (int i = 0; i < config.nodes; ++i) {
     if (i == node) continue;
     file << "[[siblings]]\nnode = \"ghat-" << i << "\"\nzone = \"" << zone(i) << "\"\naddress = \""
-         << nodes_[static_cast<std::size_t>(i)].gossip << "\"\n";
+         << loopback(own.to.at(i)->port()) << "\"\n";
   }
-  file << "[external]\ncloud = \"" << loopback(servers_[1]->port()) << "\"\nstate = \""
-       << loopback(servers_[0]->port()) << "\"\n[cluster]\ncount = " << config.nodes
+  file << "[external]\ncloud = \"" << loopback(servers_[0]->port()) << "\"\nstate = \""
+       << loopback(own.state->port()) << "\"\n[cluster]\ncount = " << config.nodes
        << "\nzones = " << Json(zones).dump() << "\nclock_off_ms = 1000.0\n";
   file << std::showpoint;
   for (const auto& team : config.teams) {
@@ -373,6 +502,16 @@
   record("node ghat-%d: signal %d", node, signal);
 }
 
+double World::peak_memory_mb(int node) const {
+  const auto process = nodes_[static_cast<std::size_t>(node)].process;
+  if (process <= 0) return 0;
+  std::ifstream status("/proc/" + std::to_string(process) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with("VmHWM:")) return std::atof(line.c_str() + 6) / 1024;
+  }
+  return 0;
+}
+
 int World::ended_node() {
   for (int i = 0; i < config.nodes; ++i) {
     auto& process = nodes_[static_cast<std::size_t>(i)].process;
@@ -510,7 +649,9 @@
     record("RAN TWICE: %s", line.c_str());
   }
   entry.stage = "running";
-  entry.ends_at = now() + run_time(piece);
+  // The result of a completed task is kept.
+  const bool completed = done[job_of(piece)].count(piece) != 0;
+  entry.ends_at = completed ? now() : now() + run_time(piece);
   worker.changed = true;
   if (starts <= 3000) {
     record("worker %s: %s try %llu begins to run", worker.host.c_str(), piece.c_str(),
@@ -581,7 +722,7 @@
     if (baton > worker.baton) worker.changed = true;
     worker.baton = baton;
     worker.renewed_at = std::max(worker.renewed_at, sent_at);
-    if (body.contains("orders")) execute(worker, body["orders"]);
+    if (body.contains("orders")) execute(worker, body["orders"], sent_at);
     return;
   }
   if (response.status == 421 && !lost && body.is_object() && body.contains("foreman") &&
@@ -622,7 +763,7 @@
          ram <= flavor->at("ramGb").get<double>() + 1e-6;
 }
 
-void World::execute(Worker& worker, const Json& orders) {
+void World::execute(Worker& worker, const Json& orders, double sent_at) {
   for (const auto& order : orders) {
     const std::string verb = order.at("verb");
     const std::pair<std::string, std::uint64_t> id{order.at("piece"), order.at("try")};
@@ -643,6 +784,7 @@
       }
       worker.pieces[id] = piece;
       worker.changed = true;
+      if (on_run && piece.stage == "pulling") on_run(worker, id.first, sent_at);
     } else if (verb == "kill") {
       if (known == worker.pieces.end() || known->second.stage == "exited") continue;
       known->second.stage = "exited";
@@ -667,7 +809,7 @@
     return {409, report_of(worker)};
   }
   worker.baton = baton;
-  if (body.contains("orders")) execute(worker, body["orders"]);
+  if (body.contains("orders")) execute(worker, body["orders"], -1);
   return {200, report_of(worker)};
 }
 
--- a/review/world/world.hpp
+++ b/review/world/world.hpp
@@ -101,6 +101,27 @@
   std::uint64_t ledger_ = 1, next_lease_ = 1;
 };
 
+/// Relays the connections from one controller to another. While it is cut, packets are held.
+class Relay {
+ public:
+  Relay(uv_loop_t* loop, std::string target);
+  int port() const { return port_; }
+  void set_cut(bool cut);
+
+ private:
+  struct Pipe;
+
+  void accept();
+  static void read(Pipe* pipe);
+
+  uv_loop_t* loop_;
+  std::string target_;
+  uv_tcp_t listener_{};
+  int port_ = 0;
+  bool cut_ = false;
+  std::set<Pipe*> pipes_;
+};
+
 /// A task attempt on a worker.
 struct Piece {
   std::string stage;  ///< pulling, running or exited
@@ -136,6 +157,9 @@
   void start_node(int node);
   void kill_node(int node);
   void signal_node(int node, int signal);
+  /// Cuts a node from the state service and from the other nodes, or ends the cut. Its requests to
+  /// the state service and the answers to them are lost; what nodes send one another is held.
+  void cut_node(int node, bool cut);
   /// Writes a node's settings file again, with the present Config.
   void write_settings(int node) const;
 
@@ -146,6 +170,8 @@
   /// The node that last answered a report with the highest token; -1: none.
   int leader() const { return leader_; }
   std::uint64_t token() const { return token_; }
+  /// The most memory that the node's process has held so far, in MB.
+  double peak_memory_mb(int node) const;
   /// A node whose process has ended by itself; -1: none.
   int ended_node();
 
@@ -166,12 +192,18 @@
   std::map<std::string, std::set<std::string>> done;  ///< tasks that completed, by job
   std::size_t starts = 0;
   std::vector<std::string> ran_twice;
+  /// Called for each `run` that a worker carries out; `sent_at` is when the report was sent that
+  /// the command answers, -1 for a direct command.
+  std::function<void(const Worker&, const std::string& piece, double sent_at)> on_run;
   std::mt19937_64 rng;
 
  private:
   struct Node {
     std::string api, gossip;
     pid_t process = 0;
+    bool cut = false;
+    std::unique_ptr<HttpServer> state;           // the state service, as this node reaches it
+    std::map<int, std::unique_ptr<Relay>> to{};  // by the other node
   };
 
   void step();
@@ -180,7 +212,7 @@
   void on_report_answer(Worker& worker, double sent_at, std::uint64_t tenure,
                         const HttpResponse& response);
   std::string report_of(Worker& worker);
-  void execute(Worker& worker, const Json& orders);
+  void execute(Worker& worker, const Json& orders, double sent_at);
   void begin_piece(Worker& worker, const std::string& piece, std::uint64_t attempt, Piece& entry);
   void expire_session(Worker& worker);
   bool hangs(const Worker& worker) const;
