Review: accepted jobs never begin after the state service has lowered its limits

Writes are joined up to the limit in the settings; a refused group is queued again as it was, and nothing splits it. The stand-ins record each report and transaction.

--- a/review/world/world.cpp
+++ b/review/world/world.cpp
@@ -184,6 +184,8 @@
     if (change.contains("put") && change.at("value").dump().size() > value_bytes) too_large = true;
   }
   if (too_large) {
+    ++refused;
+    record("state service: a transaction of %zu changes is refused, too large", apply.size());
     respond({400, R"({"error":"too large"})"});
     return;
   }
@@ -200,6 +202,11 @@
     const auto version = item == items_.end() ? 0 : item->second.version;
     if (version != condition.at("stamp").get<std::uint64_t>()) failed.push_back(condition["key"]);
   }
+  std::string keys;
+  for (const auto& change : apply) {
+    keys += " " + (change.contains("put") ? change["put"] : change["drop"]).get<std::string>();
+  }
+  record("state service: transaction on%s: %s", keys.c_str(), failed.empty() ? "200" : "409");
   if (!failed.empty()) {
     respond({409, Json{{"failed", failed}, {"ledger", ledger_}}.dump()});
     return;
@@ -463,6 +470,9 @@
        << "\n[cluster.machine_limits]\ncpu_share = " << config.cpu_share
        << "\nram_mb = " << config.ram_mb << "\nmax_connections = " << config.max_connections
        << "\n";
+  if (!config.next.is_object()) return;
+  file << "[cluster.state.next]\n";
+  for (const auto& [name, value] : config.next.items()) file << name << " = " << value << "\n";
 }
 
 void World::start_node(int node) {
@@ -641,6 +651,7 @@
                         Piece& entry) {
   const auto places = places_of(piece);
   ++starts;
+  begun.insert(job_of(piece));
   if (!places.empty()) {
     std::string line = piece + " starts on " + worker.host + " (try " + std::to_string(attempt) +
                        ") while it is on";
@@ -653,10 +664,8 @@
   const bool completed = done[job_of(piece)].count(piece) != 0;
   entry.ends_at = completed ? now() : now() + run_time(piece);
   worker.changed = true;
-  if (starts <= 3000) {
-    record("worker %s: %s try %llu begins to run", worker.host.c_str(), piece.c_str(),
-           static_cast<unsigned long long>(attempt));
-  }
+  record("worker %s: %s try %llu begins to run", worker.host.c_str(), piece.c_str(),
+         static_cast<unsigned long long>(attempt));
 }
 
 void World::expire_session(Worker& worker) {
@@ -705,6 +714,11 @@
                              const HttpResponse& response) {
   if (worker.gone) return;
   const auto body = Json::parse(response.body, nullptr, false);
+  const bool has_orders = body.is_object() && body.contains("orders");
+  record("worker %s: report to ghat-%d, tenure %llu tick %llu, %zu tasks: %d, %zu orders%s",
+         worker.host.c_str(), worker.node, static_cast<unsigned long long>(worker.tenure),
+         static_cast<unsigned long long>(worker.tick), worker.pieces.size(), response.status,
+         has_orders ? body["orders"].size() : 0, worker.cut ? "; the answer is lost" : "");
   const bool lost = worker.cut;  // the answer does not arrive
   if (response.status == 200 && !lost && body.is_object()) {
     const auto baton = body.value("baton", std::uint64_t{0});
--- a/review/world/world.hpp
+++ b/review/world/world.hpp
@@ -45,6 +45,7 @@
   int max_connections = 1421;
   Json types;             ///< `flavors` of GET /machine_types
   Json teams;             ///< [{"name", "cpus", "cpus_max", "gpus", "gpus_max"}]
+  Json next;              ///< `state.next` of the settings, if any: {"value_kb", "txn_ops", ...}
   double image_s = 0.05;  ///< time to fetch an image
 };
 
@@ -69,6 +70,7 @@
   const std::map<std::string, Item>& items() const { return items_; }
   std::size_t value_bytes = 8192;
   std::size_t max_changes = 8;
+  std::size_t refused = 0;  ///< transactions answered 400 because they were too large
 
  private:
   struct Lease {
@@ -190,6 +192,7 @@
   /// Seconds that a task runs. Called at each start.
   std::function<double(const std::string& piece)> run_time = [](const std::string&) { return 1e9; };
   std::map<std::string, std::set<std::string>> done;  ///< tasks that completed, by job
+  std::set<std::string> begun;                        ///< jobs of which a task has run
   std::size_t starts = 0;
   std::vector<std::string> ran_twice;
   /// Called for each `run` that a worker carries out; `sent_at` is when the report was sent that
