Log what a leader reads from and writes to the machine registry

The log told only how many machines a leader waited for. It could not tell apart: records read incompletely, names dropped because their leases seemed to have expired, a late write over a newer one, a record written over another one, and a term that is reconciled too early. Change: a new leader logs (info) how many records and machines it has read and how many names are in more than one record; at debug, each record that it reads or writes, with the number of names, the first and the last, before and after.

--- a/src/leader/machine_registry.cpp
+++ b/src/leader/machine_registry.cpp
@@ -1,5 +1,7 @@
 #include "leader/machine_registry.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <iterator>
 
@@ -13,6 +15,12 @@
 
 constexpr std::size_t kBytesPerName = 40;  // space reserved in a chunk for one machine name
 
+// Describes the names in a record for the log: their number, the first and the last.
+std::string describe(const std::set<std::string>& names) {
+  if (names.empty()) return "no machines";
+  return fmt::format("{} machines, {} to {}", names.size(), *names.begin(), *names.rbegin());
+}
+
 }  // namespace
 
 void MachineRegistry::begin_load() {
@@ -28,10 +36,22 @@
   } catch (const wire::DecodeError& error) {
     log::error("machine registry is malformed: {}", error.what());
   }
+  log::debug("machine registry: {} read with {}", item.key, describe(names));
   chunks_.push_back(names);
   return names;
 }
 
+void MachineRegistry::log_loaded() const {
+  std::size_t listed = 0;
+  std::set<std::string> machines;
+  for (const auto& names : chunks_) {
+    listed += names.size();
+    machines.insert(names.begin(), names.end());
+  }
+  log::info("machine registry: {} records with {} machines, {} names in more than one record",
+            chunks_.size(), machines.size(), listed - machines.size());
+}
+
 bool MachineRegistry::may_hold_tasks(const std::string& name) const {
   const Machine* machine = machines_.find(name);
   return machine != nullptr && !machine->lease_expired;
@@ -108,6 +128,9 @@
   wire::Txn txn;
   txn.changes = {{store::machine_registry_key(*chunk), store::encode_machine_registry(record)}};
   write_in_flight_ = true;
+  log::debug("machine registry: {} written with {}; before {}; {} added",
+             store::machine_registry_key(*chunk), describe(names), describe(chunks_[*chunk]),
+             added.size());
   auto on_done = [this, chunk = *chunk, names = std::move(names),
                   added = std::move(added)](bool committed) {
     write_in_flight_ = false;
--- a/src/leader/machine_registry.hpp
+++ b/src/leader/machine_registry.hpp
@@ -26,6 +26,8 @@
   void begin_load();
   /// Loads a chunk, and returns the machine names in it.
   std::set<std::string> load_chunk(const wire::Item& item);
+  /// Logs how many records and machines have been loaded.
+  void log_loaded() const;
   /// Requests that the machine be registered. Machine::registered is set once that is durable.
   void request_registration(const std::string& machine) { additions_.insert(machine); }
   /// Records that the registry may list machines that have been removed or whose lease has expired.
--- a/src/leader/term_recovery.cpp
+++ b/src/leader/term_recovery.cpp
@@ -154,6 +154,7 @@
   for (const auto& item : result.items) {
     for (const auto& name : registry_.load_chunk(item)) adopt_registered(name);
   }
+  registry_.log_loaded();
   registry_loaded_ = true;
   finish_recovery();
 }
