Machine registry: identify records by their keys, not by their position in a list

Cause: a new leader appended the records as the list returned them, in key order, and took a record's position for its number. In key order roster/10 comes before roster/2. Its next write of "record 2" put the names of roster/10 into roster/2; the names that were there were in no record any more. The leader after it did not wait for these machines.

Change: MachineRegistry holds its records by key. Up to ten records keep their keys, and all their bytes are as before. A registry that needs more moves to fixed-width keys (roster/-000000 and on): all names are first copied to such records, and only then are the numbered records removed, so that each name is in a record at all times.

Why it is safe, for each kind of stored data: - Up to ten numbered records, each at the position of its number: no version can have misplaced them; read and written as before, also by the earlier versions. - More numbered records, or numbered beside fixed-width ones: an earlier version may have written one over another, and nothing shows which names are lost. Such a registry is not trusted: the term is reconciled only once all leases that earlier leaders may have renewed have expired, and once each unlisted machine that has sent a heartbeat meanwhile has sent one under the new token. The machines are registered again, and the numbered records are removed last; until then each new leader waits in the same way. This costs one worker's lease per leader, once. - What this version writes, read by an earlier one: up to ten records are as it expects. Fixed- width records it lists, waits for and never writes: it puts what it registers into numbered records beside them. Nothing that this version has registered can be lost. What the earlier version itself registers there, it may still lose two leaders later, if all of them are of that version; the next leader of this version waits, see above. An earlier version that leads while the names are being copied may still write one numbered record over another.

--- a/src/leader/heartbeat_handler.cpp
+++ b/src/leader/heartbeat_handler.cpp
@@ -63,6 +63,7 @@
   if (machine.id.empty()) {
     machine.id = id;
     if (returned_.returning(id)) machine.service = Machine::Service::Returning;
+    recovery_.on_unlisted_machine(id);
   }
   return machine;
 }
--- a/src/leader/lease_monitor.cpp
+++ b/src/leader/lease_monitor.cpp
@@ -12,8 +12,7 @@
 
 void LeaseMonitor::expire_leases() {
   const auto now = context_.now();
-  const Seconds drifted_lease(seconds(context_.settings.lease) * (1 + kClockDrift));
-  const Duration expiry = to_duration(drifted_lease) + kLeaseMargin;
+  const Duration expiry = context_.max_worker_lease();
   for (auto& [id, machine] : cluster_.machines.all()) {
     if (!machine.lease_expired && now - machine.latest_possible_renewal > expiry) expire(machine);
   }
--- a/src/leader/machine_registry.cpp
+++ b/src/leader/machine_registry.cpp
@@ -13,7 +13,27 @@
 
 using cluster::Machine;
 
-constexpr std::size_t kBytesPerName = 40;  // space reserved in a chunk for one machine name
+constexpr std::size_t kBytesPerName = 40;  // space reserved in a record for one machine name
+
+bool is_numbered(const std::string& key) {
+  return store::parse_machine_registry_key(key).has_value();
+}
+
+// Whether no earlier version can have written one record over another. It takes a record's position
+// for its number. So this holds if there are numbered records only, each at the position of its
+// number. It also holds if there are none: this program has removed them, and an earlier version
+// has written nothing since, because it writes numbered records only and removes none.
+bool keys_in_place(const std::vector<wire::Item>& items) {
+  std::size_t numbered = 0;
+  std::size_t in_place = 0;
+  for (std::size_t position = 0; position < items.size(); ++position) {
+    const auto number = store::parse_machine_registry_key(items[position].key);
+    if (!number) continue;
+    ++numbered;
+    if (*number == position) ++in_place;
+  }
+  return numbered == 0 || in_place == items.size();
+}
 
 // Describes the names in a record for the log: their number, the first and the last.
 std::string describe(const std::set<std::string>& names) {
@@ -23,33 +43,60 @@
 
 }  // namespace
 
-void MachineRegistry::begin_load() {
-  chunks_.clear();
+std::set<std::string> MachineRegistry::load(const std::vector<wire::Item>& items) {
+  records_.clear();
+  copies_.clear();
   stale_ = true;
+  for (const auto& item : items) load_record(item);
+  complete_ = keys_in_place(items);
+  fixed_width_keys_ = !items.empty() && !is_numbered(items.front().key);
+  if (!complete_) retire_numbered_records();
+  std::set<std::string> machines;
+  for (const auto& [key, record] : records_) {
+    machines.insert(record.names.begin(), record.names.end());
+  }
+  log_loaded(machines);
+  return machines;
 }
 
-std::set<std::string> MachineRegistry::load_chunk(const wire::Item& item) {
+void MachineRegistry::load_record(const wire::Item& item) {
   writer_.set_version(item.key, item.version);
-  std::set<std::string> names;
+  Record& record = records_[item.key];
   try {
-    for (auto& name : store::decode_machine_registry(*item.value)) names.insert(std::move(name));
+    for (auto& name : store::decode_machine_registry(*item.value)) {
+      record.names.insert(std::move(name));
+    }
   } catch (const wire::DecodeError& error) {
     log::error("machine registry is malformed: {}", error.what());
   }
-  log::debug("machine registry: {} read with {}", item.key, describe(names));
-  chunks_.push_back(names);
-  return names;
+  log::debug("machine registry: {} read with {}", item.key, describe(record.names));
 }
 
-void MachineRegistry::log_loaded() const {
-  std::size_t listed = 0;
-  std::set<std::string> machines;
-  for (const auto& names : chunks_) {
-    listed += names.size();
-    machines.insert(names.begin(), names.end());
+void MachineRegistry::retire_numbered_records() {
+  fixed_width_keys_ = true;
+  stale_ = true;
+  std::set<std::string> in_use;
+  for (auto& [key, record] : records_) {
+    if (record.state != Record::State::InUse) continue;
+    if (is_numbered(key)) {
+      record.state = Record::State::Retired;
+      copies_.insert(record.names.begin(), record.names.end());
+    } else {
+      in_use.insert(record.names.begin(), record.names.end());
+    }
   }
+  for (const auto& name : in_use) copies_.erase(name);
+}
+
+void MachineRegistry::log_loaded(const std::set<std::string>& machines) const {
+  std::size_t listed = 0;
+  for (const auto& [key, record] : records_) listed += record.names.size();
   log::info("machine registry: {} records with {} machines, {} names in more than one record",
-            chunks_.size(), machines.size(), listed - machines.size());
+            records_.size(), machines.size(), listed - machines.size());
+}
+
+std::size_t MachineRegistry::names_per_record() const {
+  return context_.settings.value_bytes / kBytesPerName;
 }
 
 bool MachineRegistry::may_hold_tasks(const std::string& name) const {
@@ -57,95 +104,149 @@
   return machine != nullptr && !machine->lease_expired;
 }
 
-// Drops the additions of machines that have been removed or are already registered.
-void MachineRegistry::drop_obsolete_additions() {
+// Drops the additions of machines that have been removed or are already registered, and the copies
+// of machines that cannot have tasks any more. The latter are marked as not registered, as in
+// unregister_missing().
+void MachineRegistry::drop_obsolete_names() {
   std::erase_if(additions_, [this](const std::string& name) {
     const Machine* machine = machines_.find(name);
     return machine == nullptr || machine->registered;
   });
+  std::erase_if(copies_, [this](const std::string& name) {
+    if (may_hold_tasks(name)) return false;
+    if (Machine* machine = machines_.find(name)) machine->registered = false;
+    return true;
+  });
 }
 
-// Returns the first chunk that has room for pending additions, or lists machines that have been
-// removed or whose lease has expired. Adds a chunk if there are additions and no chunk has room.
-std::optional<std::size_t> MachineRegistry::chunk_to_write(std::size_t names_per_chunk) {
-  for (std::size_t chunk = 0; chunk < chunks_.size(); ++chunk) {
-    const auto& names = chunks_[chunk];
-    if (!additions_.empty() && names.size() < names_per_chunk) return chunk;
+// Returns the first record in use that has room for names that wait, or lists machines that have
+// been removed or whose lease has expired. Adds a record if names wait and no record has room.
+std::optional<std::string> MachineRegistry::record_to_write() {
+  for (const auto& [key, record] : records_) {
+    if (record.state != Record::State::InUse) continue;
+    if (has_names_to_add() && record.names.size() < names_per_record()) return key;
     const bool all_current =
-        std::all_of(names.begin(), names.end(),
+        std::all_of(record.names.begin(), record.names.end(),
                     [this](const std::string& name) { return may_hold_tasks(name); });
-    if (!all_current) return chunk;
+    if (!all_current) return key;
   }
-  if (additions_.empty()) return std::nullopt;
-  chunks_.emplace_back();
-  return chunks_.size() - 1;
+  if (!has_names_to_add()) return std::nullopt;
+  return add_record();
 }
 
-std::set<std::string> MachineRegistry::names_to_keep(std::size_t chunk) const {
-  std::set<std::string> names;
-  std::copy_if(chunks_[chunk].begin(), chunks_[chunk].end(), std::inserter(names, names.end()),
+std::string MachineRegistry::add_record() {
+  const std::size_t count = records_.size();
+  if (!fixed_width_keys_ && count >= store::kMaxNumberedRegistryRecords) retire_numbered_records();
+  std::string key = store::machine_registry_key(count);
+  if (fixed_width_keys_) key = unused_fixed_width_key();
+  records_[key];
+  return key;
+}
+
+std::string MachineRegistry::unused_fixed_width_key() const {
+  std::size_t number = 0;
+  while (records_.count(store::fixed_width_machine_registry_key(number)) != 0) ++number;
+  return store::fixed_width_machine_registry_key(number);
+}
+
+std::set<std::string> MachineRegistry::names_to_keep(const std::string& key) const {
+  const auto& names = records_.at(key).names;
+  std::set<std::string> kept;
+  std::copy_if(names.begin(), names.end(), std::inserter(kept, kept.end()),
                [this](const std::string& name) { return may_hold_tasks(name); });
-  return names;
+  return kept;
 }
 
-// Marks the machines that the next write removes from the chunk as not registered. This is done
+// Marks the machines that the next write removes from the record as not registered. This is done
 // before the write is sent, so that a machine that returns gets no work until it is registered
 // again.
-void MachineRegistry::unregister_missing(std::size_t chunk,
+void MachineRegistry::unregister_missing(const std::string& key,
                                          const std::set<std::string>& kept_names) {
-  for (const auto& name : chunks_[chunk]) {
+  for (const auto& name : records_.at(key).names) {
     if (kept_names.count(name) != 0) continue;
     if (Machine* machine = machines_.find(name)) machine->registered = false;
   }
 }
 
-// Fills the chunk's names up with additions, and returns the added names.
-std::vector<std::string> MachineRegistry::take_additions(std::set<std::string>& names,
-                                                         std::size_t names_per_chunk) const {
+// Fills the record's names up with names that wait, and returns these. New machines come first: no
+// work is given to them before they are registered.
+std::vector<std::string> MachineRegistry::take_names_to_add(std::set<std::string>& names) const {
   std::vector<std::string> added;
-  for (const auto& name : additions_) {
-    if (names.size() >= names_per_chunk) break;
-    names.insert(name);
-    added.push_back(name);
+  for (const auto* waiting : {&additions_, &copies_}) {
+    for (const auto& name : *waiting) {
+      if (names.size() >= names_per_record()) return added;
+      names.insert(name);
+      added.push_back(name);
+    }
   }
   return added;
 }
 
 void MachineRegistry::write() {
   if (write_in_flight_) return;
-  drop_obsolete_additions();
-  if (!stale_ && additions_.empty()) return;
-  const std::size_t names_per_chunk = context_.settings.value_bytes / kBytesPerName;
-  const auto chunk = chunk_to_write(names_per_chunk);
-  if (!chunk) {
-    stale_ = false;
-    return;
+  drop_obsolete_names();
+  if (!stale_ && !has_names_to_add()) return;
+  if (const auto key = record_to_write()) {
+    write_record(*key);
+  } else if (const auto retired = record_to_remove()) {
+    remove_record(*retired);
+  } else {
+    stale_ = std::any_of(records_.begin(), records_.end(), [](const auto& entry) {
+      return entry.second.state == Record::State::Retired;
+    });
   }
-  auto names = names_to_keep(*chunk);
-  unregister_missing(*chunk, names);
-  auto added = take_additions(names, names_per_chunk);
+}
+
+void MachineRegistry::write_record(const std::string& key) {
+  auto names = names_to_keep(key);
+  unregister_missing(key, names);
+  auto added = take_names_to_add(names);
   const std::vector<std::string> record(names.begin(), names.end());
   wire::Txn txn;
-  txn.changes = {{store::machine_registry_key(*chunk), store::encode_machine_registry(record)}};
+  txn.changes = {{key, store::encode_machine_registry(record)}};
   write_in_flight_ = true;
-  log::debug("machine registry: {} written with {}; before {}; {} added",
-             store::machine_registry_key(*chunk), describe(names), describe(chunks_[*chunk]),
-             added.size());
-  auto on_done = [this, chunk = *chunk, names = std::move(names),
-                  added = std::move(added)](bool committed) {
+  log::debug("machine registry: {} written with {}; before {}; {} added", key, describe(names),
+             describe(records_.at(key).names), added.size());
+  auto on_done = [this, key, names = std::move(names), added = std::move(added)](bool committed) {
     write_in_flight_ = false;
-    if (committed) on_written(chunk, names, added);
+    if (committed) on_written(key, names, added);
   };
   writer_.write(std::move(txn), store::Urgency::TaskStart, std::move(on_done));
 }
 
-void MachineRegistry::on_written(std::size_t chunk, const std::set<std::string>& names,
+void MachineRegistry::on_written(const std::string& key, const std::set<std::string>& names,
                                  const std::vector<std::string>& added) {
-  chunks_[chunk] = names;
+  records_.at(key).names = names;
   for (const auto& name : added) {
     additions_.erase(name);
+    copies_.erase(name);
     if (Machine* machine = machines_.find(name)) machine->registered = true;
   }
 }
 
+// Retired records show the next leader that the registry may be incomplete. They stay until the
+// registry is complete without them.
+std::optional<std::string> MachineRegistry::record_to_remove() const {
+  if (!complete_ || has_names_to_add()) return std::nullopt;
+  const auto retired = std::find_if(records_.begin(), records_.end(), [](const auto& entry) {
+    return entry.second.state == Record::State::Retired;
+  });
+  if (retired == records_.end()) return std::nullopt;
+  return retired->first;
+}
+
+void MachineRegistry::remove_record(const std::string& key) {
+  wire::Txn txn;
+  txn.changes = {{key, std::nullopt}};
+  write_in_flight_ = true;
+  log::debug("machine registry: {} removed", key);
+  auto on_done = [this, key](bool committed) {
+    write_in_flight_ = false;
+    if (!committed) return;
+    records_.erase(key);
+    writer_.forget(key);
+  };
+  writer_.write(std::move(txn), store::Urgency::TaskStart, std::move(on_done));
+}
+
 }  // namespace asterstair::leader
--- a/src/leader/term_context.hpp
+++ b/src/leader/term_context.hpp
@@ -44,6 +44,11 @@
   /// Current time of the steady clock.
   TimePoint now() const { return runtime.now(); }
 
+  /// Maximum time for which a worker's lease lasts after a renewal, by this node's clock.
+  Duration max_worker_lease() const {
+    return to_duration(Seconds(seconds(settings.lease) * (1 + kClockDrift))) + kLeaseMargin;
+  }
+
   /// Wraps a module's callback so that it does nothing once the term has ended. The term is kept
   /// alive while the callback runs.
   template <typename Callback>
--- a/src/leader/term_recovery.cpp
+++ b/src/leader/term_recovery.cpp
@@ -150,12 +150,13 @@
     reload_later();
     return;
   }
-  registry_.begin_load();
-  for (const auto& item : result.items) {
-    for (const auto& name : registry_.load_chunk(item)) adopt_registered(name);
-  }
-  registry_.log_loaded();
+  for (const auto& name : registry_.load(result.items)) adopt_registered(name);
   registry_loaded_ = true;
+  if (!registry_.complete()) {
+    log::info(
+        "term {}: the machine registry may be incomplete; reconciled in {:.1f} s at the earliest",
+        context_.token, seconds(unlisted_leases_expiry() - context_.now()));
+  }
   finish_recovery();
 }
 
@@ -188,9 +189,26 @@
   check_reconciled();
 }
 
+// Time after which a worker that has had no response from this leader has no lease.
+TimePoint TermRecovery::unlisted_leases_expiry() const {
+  return context_.previous_leaders_expiry + context_.max_worker_lease();
+}
+
+// Whether a machine that this leader does not know may have tasks.
+bool TermRecovery::may_miss_machines() const {
+  return !registry_.complete() && context_.now() <= unlisted_leases_expiry();
+}
+
+// The response to the heartbeat may renew the machine's lease, so that it outlasts
+// unlisted_leases_expiry().
+void TermRecovery::on_unlisted_machine(const std::string& machine) {
+  if (!reconciled_ && may_miss_machines()) unreconciled_.insert(machine);
+}
+
 void TermRecovery::check_reconciled() {
-  if (reconciled_ || !recovered_ || !unreconciled_.empty()) return;
+  if (reconciled_ || !recovered_ || !unreconciled_.empty() || may_miss_machines()) return;
   reconciled_ = true;
+  registry_.confirm_complete();
   for (auto& [id, job] : cluster_.jobs.all()) {
     if (job.started_by_previous_leader) JobTable::rebuild_waiting(job);
   }
--- a/src/leader/term_recovery.hpp
+++ b/src/leader/term_recovery.hpp
@@ -22,7 +22,8 @@
 ///   returns. From then on heartbeats may be answered while the view of the live jobs is fresh;
 /// - *reconciled* once each registered machine has sent a heartbeat under this term's token, is
 ///   known to have lost its lease, or is known to be terminated. Until then, tasks of jobs that an
-///   earlier leader started may be running on any machine.
+///   earlier leader started may be running on any machine. If the registry may be incomplete, this
+///   takes at least until all leases that earlier leaders may have renewed have expired.
 /// Owned by Term.
 class TermRecovery {
  public:
@@ -46,6 +47,9 @@
   /// max_view_staleness() plus one lease; see "Why cancelled tasks end in time" in docs/design.md.
   bool view_is_fresh() const;
 
+  /// Called when a machine that the registry does not list sends its first heartbeat.
+  /// Reconciliation waits for the machine if it may have tasks of an earlier leader.
+  void on_unlisted_machine(const std::string& machine);
   /// Removes the machine from those that reconciliation waits for: it is reconciled, its lease is
   /// known to have expired, or it is terminated.
   void stop_awaiting(const std::string& machine) { unreconciled_.erase(machine); }
@@ -62,6 +66,8 @@
   void rebuild_waiting_tasks();
   void load_registry();
   void on_registry(const store::ListResult& result);
+  TimePoint unlisted_leases_expiry() const;
+  bool may_miss_machines() const;
   void adopt_registered(const std::string& name);
   void reload_later();
   void finish_recovery();
@@ -83,7 +89,7 @@
   bool open_returns_known_ = false;
   bool recovered_ = false;
   bool reconciled_ = false;
-  // Registered machines that are neither reconciled nor known to run no tasks.
+  // Machines that may have tasks of an earlier leader and are not reconciled.
   std::set<std::string> unreconciled_;
 };
 
--- a/src/store/machine_registry_records.cpp
+++ b/src/store/machine_registry_records.cpp
@@ -1,5 +1,10 @@
 #include "store/machine_registry_records.hpp"
 
+#include <fmt/format.h>
+
+#include <charconv>
+#include <string_view>
+
 namespace asterstair::store {
 namespace {
 
@@ -7,8 +12,23 @@
 
 }  // namespace
 
-std::string machine_registry_key(std::size_t chunk) {
-  return kMachineRegistryPrefix + std::to_string(chunk);
+std::string machine_registry_key(std::size_t number) {
+  return kMachineRegistryPrefix + std::to_string(number);
+}
+
+std::string fixed_width_machine_registry_key(std::size_t number) {
+  return fmt::format("{}-{:06}", kMachineRegistryPrefix, number);
+}
+
+std::optional<std::size_t> parse_machine_registry_key(const std::string& key) {
+  const std::string_view prefix = kMachineRegistryPrefix;
+  if (!key.starts_with(prefix)) return std::nullopt;
+  std::size_t number = 0;
+  const char* const key_end = key.data() + key.size();
+  const auto [end, error] = std::from_chars(key.data() + prefix.size(), key_end, number);
+  if (error != std::errc() || end != key_end) return std::nullopt;
+  if (machine_registry_key(number) != key) return std::nullopt;
+  return number;
 }
 
 wire::Json encode_machine_registry(const std::vector<std::string>& machines) {
--- a/tests/sim/scenario.cpp
+++ b/tests/sim/scenario.cpp
@@ -32,11 +32,12 @@
 }  // namespace
 
 Scenario::Scenario(std::uint64_t seed, std::size_t machines_per_pool, int node_count,
-                   const Timing& timing, const Features& features)
+                   const Timing& timing, const Features& features, double value_kb)
     : simulator(seed),
       network(simulator),
       features(features),
       timing(timing),
+      value_kb(value_kb),
       node_list(make_node_list(node_count)),
       checker(simulator, {{"red", {40, 4}}, {"blue", {0, 0}}}, timing.cancel_s),
       store(simulator, network, kStoreAddress),
@@ -81,7 +82,8 @@
                                      send_gossip(node, to, std::move(message));
                                    });
   booted.node = std::make_unique<Node>(
-      *booted.runtime, parse_settings(settings_text(node, node_count(), timing)), features);
+      *booted.runtime, parse_settings(settings_text(node, node_count(), timing, value_kb)),
+      features);
   network.listen(node_address(node), node_name(node),
                  [this, node, incarnation = ++booted.incarnation](const HttpRequest& request,
                                                                   const Respond& respond) {
--- a/tests/sim/scenario.hpp
+++ b/tests/sim/scenario.hpp
@@ -32,7 +32,8 @@
 
   /// Boots all nodes. Each of the cloud's pools has `machines_per_pool` machines.
   explicit Scenario(std::uint64_t seed, std::size_t machines_per_pool = 3, int node_count = 3,
-                    const Timing& timing = {}, const Features& features = {true});
+                    const Timing& timing = {}, const Features& features = {true},
+                    double value_kb = kDefaultValueKb);
 
   /// The number of nodes, whether they run or not.
   int node_count() const { return static_cast<int>(nodes.size()); }
@@ -81,6 +82,7 @@
   Network network;
   Features features;
   Timing timing;
+  double value_kb;
   NodeList node_list;
   JobStates jobs;
   RuleChecker checker;
--- a/tests/sim/settings_text.cpp
+++ b/tests/sim/settings_text.cpp
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-std::string settings_text(int node, int nodes, const Timing& timing) {
+std::string settings_text(int node, int nodes, const Timing& timing, double value_kb) {
   const double rps = 120, write_rps = 40;
   std::string out = "node = \"" + name_of(node) + "\"\nzone = \"" + zone_of(node) +
                     "\"\napi_addr = \"" + host_of(node) + ":8080\"\ncluster_listen = \"" +
@@ -58,8 +58,8 @@
          "\ncancel_s = " + to_one_decimal(timing.cancel_s) + R"(
 [cluster.state]
 rps = )" +
-         std::to_string(rps) + "\nwrite_rps = " + std::to_string(write_rps) + R"(
-value_kb = 8.0
+         std::to_string(rps) + "\nwrite_rps = " + std::to_string(write_rps) +
+         "\nvalue_kb = " + to_one_decimal(value_kb) + R"(
 txn_ops = 8
 [cluster.cloud]
 rps = 4.0
