Machine registry: keep a record that cannot be read, and reckon with it

Cause: a registry record that could not be decoded, for instance one of a newer version, was taken for an empty one. The next leader wrote new names over it and waited for none of the machines in it, so their tasks could start a second time. Names that are not strings were skipped silently, with the same result. Change: such a record is Unreadable: it is never written or removed, one error line names its key, and the registry counts as incomplete, so that each new leader waits until all leases that earlier leaders may have renewed have expired. A newer form, and an element that is no name, are errors of the decoder. Safe to read: nothing that this program has stored is affected.

--- a/src/leader/machine_registry.cpp
+++ b/src/leader/machine_registry.cpp
@@ -48,9 +48,13 @@
   copies_.clear();
   stale_ = true;
   for (const auto& item : items) load_record(item);
-  complete_ = keys_in_place(items);
+  const bool all_readable = std::none_of(records_.begin(), records_.end(), [](const auto& entry) {
+    return entry.second.state == Record::State::Unreadable;
+  });
+  const bool in_place = keys_in_place(items);
+  complete_ = all_readable && in_place;
   fixed_width_keys_ = !items.empty() && !is_numbered(items.front().key);
-  if (!complete_) retire_numbered_records();
+  if (!in_place) retire_numbered_records();
   std::set<std::string> machines;
   for (const auto& [key, record] : records_) {
     machines.insert(record.names.begin(), record.names.end());
@@ -66,10 +70,12 @@
     for (auto& name : store::decode_machine_registry(*item.value)) {
       record.names.insert(std::move(name));
     }
+    log::debug("machine registry: {} read with {}", item.key, describe(record.names));
   } catch (const wire::DecodeError& error) {
-    log::error("machine registry is malformed: {}", error.what());
+    record = {Record::State::Unreadable, {}};
+    log::error("machine registry: {} cannot be read and is kept as it is: {}", item.key,
+               error.what());
   }
-  log::debug("machine registry: {} read with {}", item.key, describe(record.names));
 }
 
 void MachineRegistry::retire_numbered_records() {
--- a/src/leader/machine_registry.hpp
+++ b/src/leader/machine_registry.hpp
@@ -32,7 +32,8 @@
   /// \param items the records in the store, in key order
   std::set<std::string> load(const std::vector<wire::Item>& items);
   /// Whether the registry lists every machine that may have tasks, apart from requested
-  /// registrations. It may not if an earlier version may have written one record over another.
+  /// registrations. It may not if a record cannot be decoded, or if an earlier version may have
+  /// written one record over another.
   bool complete() const { return complete_; }
   /// Records that registration has been requested for each machine that may have tasks.
   void confirm_complete() { complete_ = true; }
@@ -47,8 +48,9 @@
   struct Record {
     /// What may be done with a record.
     enum class State {
-      InUse,   ///< holds registered names, and receives new ones
-      Retired  ///< removed once all its names are in records in use
+      InUse,      ///< holds registered names, and receives new ones
+      Retired,    ///< removed once all its names are in records in use
+      Unreadable  ///< cannot be decoded; kept as it is
     };
     State state = State::InUse;
     std::set<std::string> names;  // as stored
--- a/src/store/machine_registry_records.cpp
+++ b/src/store/machine_registry_records.cpp
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <string_view>
 
+#include "store/record_format.hpp"
+
 namespace asterstair::store {
 namespace {
 
@@ -36,9 +38,11 @@
 }
 
 std::vector<std::string> decode_machine_registry(const wire::Json& value) {
+  require_known_format(value);
   std::vector<std::string> machines;
   for (const auto& machine : wire::list(value, kMachinesField)) {
-    if (machine.is_string()) machines.push_back(machine.get<std::string>());
+    if (!machine.is_string()) wire::fail_field(kMachinesField, "must be a list of names");
+    machines.push_back(machine.get<std::string>());
   }
   return machines;
 }
--- a/src/store/machine_registry_records.hpp
+++ b/src/store/machine_registry_records.hpp
@@ -42,8 +42,8 @@
 /// Encodes a record of the machine registry.
 wire::Json encode_machine_registry(const std::vector<std::string>& machines);
 
-/// Decodes a record of the machine registry. Throws wire::DecodeError; ignores elements that are
-/// not strings.
+/// Decodes a record of the machine registry. Throws wire::DecodeError, also for a newer format and
+/// if any element is not a name: an incomplete list must not pass for a complete one.
 std::vector<std::string> decode_machine_registry(const wire::Json& value);
 
 }  // namespace asterstair::store
--- a/tests/machine_registry_test.cpp
+++ b/tests/machine_registry_test.cpp
@@ -193,6 +193,31 @@
   EXPECT_TRUE(scenario.checker.violations.empty()) << scenario.checker.report();
 }
 
+// A record that could not be decoded was taken for an empty one and overwritten, and no leader
+// waited for the machines in it. It may be of a newer version. It must be kept, and be reckoned
+// with. Guard: MachineRegistry::Record::State::Unreadable.
+TEST(MachineRegistry, KeepsARecordThatItCannotRead) {
+  const std::vector<Json> values{{{"machines", 7}},
+                                 {{"machines", Json::array({"n-000001", 7})}},
+                                 {{"form", 2}, {"machines", Json::array()}},
+                                 "n-000001"};
+  for (const auto& value : values) {
+    BusyDeployment deployment(96);
+    auto& scenario = deployment.scenario;
+    ASSERT_FALSE(deployment.victim.empty());
+    const auto key = store::machine_registry_key(0);
+    scenario.store.overwrite(key, value);
+    deployment.crash_leader_without_victim();
+    EXPECT_TRUE(scenario.checker.violations.empty()) << value << "\n" << scenario.checker.report();
+    scenario.run_until(80);
+    EXPECT_EQ(registry_records(scenario).at(key).first, value);
+    scenario.run_until(300);
+    EXPECT_EQ(registry_records(scenario).at(key).first, value);
+    EXPECT_EQ(scenario.checker.final_stage(deployment.job), "done") << value;
+    EXPECT_TRUE(scenario.checker.violations.empty()) << value << "\n" << scenario.checker.report();
+  }
+}
+
 // Versions that take a record's position for its number must find a small registry as they left it,
 // and must not write over the records of a large one.
 TEST(MachineRegistryKeys, KeepThePositionsThatEarlierVersionsExpect) {
