Lease: never claim a record that cannot be read

Cause: looked for after the registry's fault, as a stored record that is unreadable and then overwritten. A lease record that could not be decoded, for instance one of a newer version, was taken for one of an unnamed holder. After a peer's step-down from its version it was claimed like any other, whatever conditions it contained. Change: such a record is not claimed in any way, but watched until it changes or is deleted. A record with an empty node name counts as malformed; nobody writes one. Why it is safe: not claiming needs no argument. Leadership is not lost for long, because a record is attached to a store lease, which its holder revokes or lets expire. A record without a store lease, which no version writes, kept nodes from claiming before this change as well, except after a step-down; it has to be deleted by hand. Records of this and of earlier versions are read as before. Result: Lease.IsNeverClaimedFromARecordThatCannotBeRead failed before, the record overwritten with a forced claim, and passes now.

--- a/src/lease/acquirer.cpp
+++ b/src/lease/acquirer.cpp
@@ -86,17 +86,16 @@
 }
 
 void Acquirer::on_item(const wire::Item& item, std::uint64_t revision) {
-  store::HolderRecord record;
   try {
-    record = store::decode_holder(*item.value);
+    on_record(store::decode_holder(*item.value), item, revision);
   } catch (const wire::DecodeError& error) {
-    // The holder is unknown. The record is watched until it changes or is deleted. An empty node
-    // keeps ContentionPolicy::TakeOver from overwriting it.
+    // The holder is unknown, and so are the conditions on which the record may be replaced: a newer
+    // version may have written it. It is never claimed, but watched until it changes or is deleted
+    // with its store lease.
     log::error("lease {}: malformed record: {}", item.key, error.what());
-    record = {};
-    record.forced = true;
+    forget_holder();
+    watch_record(revision);
   }
-  on_record(record, item, revision);
 }
 
 void Acquirer::on_record(const store::HolderRecord& record, const wire::Item& item,
@@ -114,7 +113,7 @@
                                std::uint64_t revision) {
   holder_ = record.node;
   holder_version_ = version;
-  if (options_.contention_policy == ContentionPolicy::TakeOver && !holder_.empty()) {
+  if (options_.contention_policy == ContentionPolicy::TakeOver) {
     claim(version, true);
   } else {
     watch_record(revision);
--- a/src/lease/acquirer.hpp
+++ b/src/lease/acquirer.hpp
@@ -36,7 +36,8 @@
   /// Continues the campaign after a held lease has been lost; does nothing after stop().
   void resume();
 
-  /// A peer has stepped down from this token: the record may be claimed at that version.
+  /// A peer has stepped down from this token: the record may be claimed at that version, unless it
+  /// cannot be decoded.
   void claim_after_step_down(std::uint64_t token);
   /// Claims the record of another holder without waiting for its store lease to expire. Does
   /// nothing if no holder is known, if the last forced claim was sent less than 3 s ago, or before
--- a/src/store/lease_records.cpp
+++ b/src/store/lease_records.cpp
@@ -20,6 +20,7 @@
   require_known_format(value);
   HolderRecord record;
   record.node = wire::text(value, kNodeField);
+  if (record.node.empty()) wire::fail_field(kNodeField, "must not be empty");
   record.claim = wire::integer(value, kClaimField);
   record.forced = wire::flag_or(value, kForcedField, false);
   return record;
