Progress records: decode them whole or not at all, and preserve one that cannot be read

Any character of a progress record was taken for a digit, so a malformed record marked tasks as done; a newer form was not noticed. A record without a bitmap was logged, and the next write of progress replaced it. Change: only lower-case hexadecimal digits of a known form are decoded, and nothing is taken over unless all of it is. The job goes on, since its user was promised that; the tasks of that record run again. The transaction that first writes the record anew stores the old value under unreadable/<key>, and the error line names both. Nobody reads or deletes such copies.

--- a/src/leader/fenced_writer.cpp
+++ b/src/leader/fenced_writer.cpp
@@ -2,6 +2,8 @@
 
 #include <memory>
 
+#include "store/records.hpp"
+
 namespace asterstair::leader {
 
 void FencedWriter::write(wire::Txn txn, store::Urgency urgency, Done done) {
@@ -11,9 +13,13 @@
     txn.conditions.push_back({change.key, versions_[change.key]});
   }
   txn.conditions.push_back(context_.election.guard());
+  add_copies(keys, txn);
   auto on_result = [this, keys, done = std::move(done)](const store::WriteResult& result) {
     if (result.outcome == store::WriteOutcome::Committed) {
-      for (const auto& key : keys) versions_[key] = result.revision;
+      for (const auto& key : keys) {
+        versions_[key] = result.revision;
+        unreadable_.erase(key);
+      }
       done(true);
     } else if (result.outcome == store::WriteOutcome::NotApplied) {
       done(false);
@@ -25,6 +31,14 @@
   context_.store.write(std::move(txn), urgency, context_.while_alive(std::move(on_result)));
 }
 
+void FencedWriter::add_copies(const std::vector<std::string>& keys, wire::Txn& txn) const {
+  for (const auto& key : keys) {
+    const auto unreadable = unreadable_.find(key);
+    if (unreadable == unreadable_.end()) continue;
+    txn.changes.push_back({store::unreadable_copy_key(key), unreadable->second});
+  }
+}
+
 void FencedWriter::read_versions(const std::vector<std::string>& keys,
                                  const std::function<void()>& done) {
   auto pending = std::make_shared<std::size_t>(keys.size());
--- a/src/leader/fenced_writer.hpp
+++ b/src/leader/fenced_writer.hpp
@@ -2,6 +2,7 @@
 /// @file
 /// Fenced writes of the keys that only the leader changes.
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -29,14 +30,26 @@
   void write(wire::Txn txn, store::Urgency urgency, Done done);
   /// Records the version that the key had when it was read.
   void set_version(const std::string& key, std::uint64_t version) { versions_[key] = version; }
-  /// Drops the version of a key that is deleted and will not be written again.
-  void forget(const std::string& key) { versions_.erase(key); }
+  /// Records that the key's value could not be decoded. The first write of the key stores a copy of
+  /// the value beside it, in the same transaction.
+  void preserve(const std::string& key, const wire::Json& value) { unreadable_[key] = value; }
+  /// Number of changes that a write of the key adds to a transaction.
+  std::size_t changes_per_write(const std::string& key) const {
+    return unreadable_.count(key) != 0 ? 2 : 1;
+  }
+  /// Drops what is known of a key that is deleted and will not be written again.
+  void forget(const std::string& key) {
+    versions_.erase(key);
+    unreadable_.erase(key);
+  }
 
  private:
+  void add_copies(const std::vector<std::string>& keys, wire::Txn& txn) const;
   void read_versions(const std::vector<std::string>& keys, const std::function<void()>& done);
 
   const TermContext& context_;
   std::map<std::string, std::uint64_t> versions_;  // 0: the key does not exist
+  std::map<std::string, wire::Json> unreadable_;   // values that the next write must preserve
 };
 
 }  // namespace asterstair::leader
--- a/src/leader/job_progress_log.cpp
+++ b/src/leader/job_progress_log.cpp
@@ -55,11 +55,13 @@
   wire::Txn txn;
   txn.conditions = {{store::live_key(id), job.version}};
   std::set<std::size_t> chunks;
+  std::size_t changes = 0;
   for (const auto chunk : job.dirty_chunks) {
-    if (txn.changes.size() >= context_.settings.txn_ops) break;
+    const auto key = store::progress_key(id, chunk);
+    changes += writer_.changes_per_write(key);
+    if (changes > context_.settings.txn_ops) break;
     txn.changes.push_back(
-        {store::progress_key(id, chunk),
-         store::encode_progress_chunk(job.done, chunk, context_.settings.value_bytes)});
+        {key, store::encode_progress_chunk(job.done, chunk, context_.settings.value_bytes)});
     chunks.insert(chunk);
   }
   for (const auto chunk : chunks) job.dirty_chunks.erase(chunk);
--- a/src/leader/term_recovery.cpp
+++ b/src/leader/term_recovery.cpp
@@ -109,7 +109,10 @@
   try {
     store::decode_progress_chunk(*item.value, chunk, context_.settings.value_bytes, job->done);
   } catch (const wire::DecodeError& error) {
-    log::error("progress record of job {} is malformed: {}", id, error.what());
+    // The job must go on. Its tasks in this chunk run again, and the chunk is written anew.
+    log::error("progress record {} is malformed, a copy is kept under {}: {}", item.key,
+               store::unreadable_copy_key(item.key), error.what());
+    writer_.preserve(item.key, *item.value);
   }
   job->durable = job->done;
   job->start_record = Job::StartRecord::Durable;
--- a/src/store/progress_records.cpp
+++ b/src/store/progress_records.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <string_view>
+
+#include "store/record_format.hpp"
 
 namespace asterstair::store {
 namespace {
@@ -13,7 +16,11 @@
 constexpr std::size_t kChunkOverhead = 64;
 
 unsigned digit_value(char digit) {
-  return static_cast<unsigned>(digit >= 'a' ? digit - 'a' + 10 : digit - '0');
+  const auto value = std::string_view(kHexDigits).find(digit);
+  if (value == std::string_view::npos) {
+    wire::fail_field(kDoneField, "must consist of lower-case hexadecimal digits");
+  }
+  return static_cast<unsigned>(value);
 }
 
 }  // namespace
@@ -61,9 +68,13 @@
 
 void decode_progress_chunk(const wire::Json& value, std::size_t chunk, std::size_t value_bytes,
                            std::vector<bool>& done) {
-  auto task = chunk * tasks_per_progress_chunk(value_bytes);
+  require_known_format(value);
+  std::vector<unsigned> digits;
   for (const char character : wire::text(value, kDoneField)) {
-    const auto digit = digit_value(character);
+    digits.push_back(digit_value(character));
+  }
+  auto task = chunk * tasks_per_progress_chunk(value_bytes);
+  for (const unsigned digit : digits) {
     for (unsigned bit = 0; bit < kTasksPerDigit && task < done.size(); ++bit, ++task) {
       if ((digit >> bit) & 1U) done[task] = true;
     }
--- a/src/store/progress_records.hpp
+++ b/src/store/progress_records.hpp
@@ -34,7 +34,8 @@
                                  std::size_t value_bytes);
 
 /// Sets the elements of `done` for the done tasks of one chunk; the other elements keep their
-/// values. Ignores tasks beyond the end of `done`. Throws wire::DecodeError. The leader calls it
+/// values. Ignores tasks beyond the end of `done`. Throws wire::DecodeError, also for a newer
+/// format, and then changes nothing: a task must not count as done by mistake. The leader calls it
 /// for each chunk during the recovery of a term.
 void decode_progress_chunk(const wire::Json& value, std::size_t chunk, std::size_t value_bytes,
                            std::vector<bool>& done);
--- a/src/store/record_format.cpp
+++ b/src/store/record_format.cpp
@@ -1,7 +1,5 @@
 #include "store/record_format.hpp"
 
-#include <string>
-
 namespace asterstair::store {
 namespace {
 
@@ -9,6 +7,8 @@
 
 }  // namespace
 
+std::string unreadable_copy_key(const std::string& key) { return kUnreadablePrefix + key; }
+
 void require_known_format(const wire::Json& value) {
   if (wire::optional_member(value, kFormatField) == nullptr) return;
   const auto format = wire::integer(value, kFormatField);
--- a/src/store/records.hpp
+++ b/src/store/records.hpp
@@ -10,9 +10,11 @@
 ///   final/<job>             how a job ended; never deleted
 ///   progress/<job>/<n>      bitmap of done tasks, in chunks; chunk 0 is written before the job's
 ///                           first task starts
-///   roster/<n>              machine registry: machines that may have tasks, in chunks
+///   roster/<n>              machine registry: machines that may have tasks, in several records
+///   roster/-<n>             the same, in fixed-width keys, where ten records are not enough
 ///   catalog                 last known machine types, for nodes that start while the cloud is
 ///                           unavailable
+///   unreadable/<key>        copy of a record that could not be decoded and had to be replaced
 ///
 /// Running clusters have stored these keys, field names and values: they must never change.
 
--- a/tests/golden_records_test.cpp
+++ b/tests/golden_records_test.cpp
@@ -27,6 +27,7 @@
   EXPECT_EQ(store::progress_key("req-1", 3), "progress/req-1/3");
   EXPECT_EQ(store::machine_registry_key(2), "roster/2");
   EXPECT_EQ(store::fixed_width_machine_registry_key(2), "roster/-000002");
+  EXPECT_EQ(store::unreadable_copy_key("progress/req-1/3"), "unreadable/progress/req-1/3");
   EXPECT_STREQ(provisioning::kLeaseKey, "duty/machines");
   EXPECT_STREQ(provisioning::kOperationPrefix, "ledger/machines/");
   EXPECT_STREQ(provisioning::kOrphansKey, "orphans/machines");
