Tests: the unlisted machine's renewal comes from a heartbeat that it sends after its isolation

Cause: MachineRegistry.ReconciliationAwaitsUnlistedMachinesThatHaveSentAHeartbeat held also without its guard. The heartbeat it waited for was one that the worker had given up; it was delivered late, and its response renewed no lease. Change: only heartbeats that are sent after the reconnection count. The assertions are the same.

--- a/tests/machine_registry_test.cpp
+++ b/tests/machine_registry_test.cpp
@@ -175,11 +175,17 @@
   scenario.network.isolate(victim);
   scenario.crash(scenario.leader(), 0.2);
   scenario.run_until(52);
+  // Heartbeats from before are delivered late, and their responses renew nothing.
+  std::set<std::string> new_heartbeats;
+  scenario.network.on_request = [&](const std::string& from, const std::string&,
+                                    const HttpRequest& request) {
+    if (from == victim && request.target == "/v1/report") new_heartbeats.insert(request.body);
+  };
   bool renewed = false;
   scenario.network.alter_response = [&](const std::string&, const HttpRequest& request,
                                         HttpResponse& response) {
     if (renewed || !is_accepted_heartbeat(request, response)) return;
-    if (Json::parse(request.body)["host"] != victim) return;
+    if (new_heartbeats.count(request.body) == 0) return;
     renewed = true;
     scenario.simulator.schedule(100ms, [&] { scenario.network.isolate(victim); });
   };
