Draw the random numbers of the decoder test's generator in a set order

Cause: mutate() drew two random numbers in the arguments of one call. C++ leaves their order to the compiler; GCC draws the length first on x86-64 and the start first on arm64.

Change: the length is drawn into a variable first, then the start: the order of x86-64.

Result: both kinds of machine play the messages that x86-64 has always played.

--- a/tests/heartbeat_decoder_test.cpp
+++ b/tests/heartbeat_decoder_test.cpp
@@ -188,9 +188,13 @@
       case 3:
         text.resize(at);
         break;
-      default:
-        text.insert(at, text.substr(below(text.size()), below(24)));
+      default: {
+        // Drawn one by one: the order of evaluation of arguments differs between compilers.
+        const auto length = below(24);
+        const auto start = below(text.size());
+        text.insert(at, text.substr(start, length));
         break;
+      }
     }
   }
   return text;
