Confirm that there is no successor before a worker's lease counts as expired

The leader's zone is cut off for 15 s; as soon as the cut ends, the deposed leader starts tasks that run outside under its successor.

Cause: a leader counted a worker's lease as expired when it had not renewed it for that long. A successor that was elected by a forced claim, of which it does not know, may have renewed it.

Change: an expiry counts only up to the time at which the leader key is known to have had no later version: when the last read that found this node's token was sent. LeaseMonitor sends such a read as soon as a lease times out. The same holds for machines that the registry does not list.

--- a/src/leader/election.hpp
+++ b/src/leader/election.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
 
 #include "base/runtime.hpp"
 #include "base/settings.hpp"
@@ -48,6 +49,11 @@
   /// its term ends.
   void on_higher_token(std::uint64_t token) { lease_.on_higher_token(token); }
 
+  /// Asks the state service whether this node still leads, to move confirmed_at(). `done` runs
+  /// after the answer, unless this node has lost leadership by then; there may have been no answer.
+  /// Called by LeaseMonitor. Requires leading().
+  void confirm(std::function<void()> done) { lease_.confirm(std::move(done)); }
+
   /// Whether this node leads. A leader may act only while lease_valid().
   bool leading() const { return lease_.held(); }
   /// Whether this node leads and may act under its token now.
@@ -56,6 +62,9 @@
   std::uint64_t token() const { return lease_.token(); }
   /// The latest token that this node has stepped down from; 0: none.
   std::uint64_t stepped_down_token() const { return lease_.stepped_down_token(); }
+  /// Latest time at which this node is known to have had no successor. Until then nobody else has
+  /// answered heartbeats under a newer token.
+  TimePoint confirmed_at() const { return lease_.confirmed_at(); }
   /// Latest time at which the lease of a leader before this node's term may still be valid.
   TimePoint previous_leaders_expiry() const { return lease_.previous_holders_expiry(); }
   /// The fencing condition, which every write of the leader carries.
--- a/src/leader/term.cpp
+++ b/src/leader/term.cpp
@@ -10,8 +10,8 @@
 
 }  // namespace
 
-Term::Term(Runtime& runtime, store::Store& store, const Election& election,
-           const Settings& settings, const cloud::Catalog& catalog)
+Term::Term(Runtime& runtime, store::Store& store, Election& election, const Settings& settings,
+           const cloud::Catalog& catalog)
     : context_{runtime,       store,
                election,      settings,
                catalog,       election.token(),
@@ -36,7 +36,7 @@
                   scheduling_trigger_),
       heartbeats_(context_, cluster_, returned_machines_, recovery_, registry_, health_, attempts_,
                   gangs_, heartbeat_commands_, scheduling_),
-      lease_monitor_(context_, cluster_, attempts_, registry_, recovery_),
+      lease_monitor_(context_, cluster_, attempts_, registry_, recovery_, [this] { run_cycle(); }),
       removal_(cluster_, attempts_, registry_, returned_machines_, recovery_),
       consolidator_(context_, snapshots_, scheduling_, recovery_, gangs_) {}
 
@@ -48,6 +48,12 @@
 
 void Term::tick() {
   context_.runtime.after(kTickInterval, context_.while_alive([this] { tick(); }));
+  run_cycle();
+}
+
+// One cycle of the reconciliation loop. Runs periodically, and early once the expiry of a worker's
+// lease is confirmed.
+void Term::run_cycle() {
   if (!recovery_.recovered()) return;
   lease_monitor_.expire_leases();
   live_jobs_.expire_arrivals();
--- a/src/leader/term.hpp
+++ b/src/leader/term.hpp
@@ -55,7 +55,7 @@
 class Term : public std::enable_shared_from_this<Term> {
  public:
   /// \param election holds the lease of this term's token
-  Term(Runtime& runtime, store::Store& store, const Election& election, const Settings& settings,
+  Term(Runtime& runtime, store::Store& store, Election& election, const Settings& settings,
        const cloud::Catalog& catalog);
   Term(const Term&) = delete;
   Term& operator=(const Term&) = delete;
@@ -122,6 +122,7 @@
 
  private:
   void tick();
+  void run_cycle();
   void log_summary_if_due();
 
   // Declared in the order of their dependencies: each member refers only to earlier ones, except in
--- a/src/leader/term_recovery.cpp
+++ b/src/leader/term_recovery.cpp
@@ -199,7 +199,12 @@
 
 // Whether a machine that this leader does not know may have tasks.
 bool TermRecovery::may_miss_machines() const {
-  return !registry_.complete() && context_.now() <= unlisted_leases_expiry();
+  return !registry_.complete() && !context_.worker_lease_expired(context_.previous_leaders_expiry);
+}
+
+bool TermRecovery::awaits_confirmation() const {
+  return !reconciled_ && recovered_ && may_miss_machines() &&
+         context_.worker_lease_timed_out(context_.previous_leaders_expiry);
 }
 
 // The response to the heartbeat may renew the machine's lease, so that it outlasts
--- a/src/leader/term_recovery.hpp
+++ b/src/leader/term_recovery.hpp
@@ -50,6 +50,9 @@
   /// Called when a machine that the registry does not list sends its first heartbeat.
   /// Reconciliation waits for the machine if it may have tasks of an earlier leader.
   void on_unlisted_machine(const std::string& machine);
+  /// Whether the leases of unlisted machines have timed out, and only the confirmation is missing
+  /// that this node had no successor until then. See LeaseMonitor.
+  bool awaits_confirmation() const;
   /// Removes the machine from those that reconciliation waits for: it is reconciled, its lease is
   /// known to have expired, or it is terminated.
   void stop_awaiting(const std::string& machine) { unreconciled_.erase(machine); }
--- a/src/lease/lease.hpp
+++ b/src/lease/lease.hpp
@@ -3,7 +3,9 @@
 /// A named lease in the state service.
 
 #include <cstdint>
+#include <functional>
 #include <string>
+#include <utility>
 
 #include "base/runtime.hpp"
 #include "lease/acquirer.hpp"
@@ -51,6 +53,9 @@
   /// token, it has lost the lease.
   void on_higher_token(std::uint64_t token);
 
+  /// Reads the record at once, to move confirmed_at(). See Renewer::confirm(). Requires held().
+  void confirm(std::function<void()> done) { renewer_.confirm(std::move(done)); }
+
   /// Whether this node holds the lease, valid or expired.
   bool held() const { return renewer_.held(); }
   /// Whether this node holds the lease and may act under its token now.
@@ -59,6 +64,9 @@
   std::uint64_t token() const { return renewer_.token(); }
   /// The last token that this node has stepped down from; 0: none.
   std::uint64_t stepped_down_token() const { return stepped_down_token_; }
+  /// Latest time at which this node is known to have had no successor, see
+  /// Renewer::confirmed_at().
+  TimePoint confirmed_at() const { return renewer_.confirmed_at(); }
   /// When the leases of all holders before this node's term have expired at the latest.
   TimePoint previous_holders_expiry() const { return renewer_.previous_holders_expiry(); }
   /// The condition that every write of the holder carries.
--- a/src/lease/renewer.cpp
+++ b/src/lease/renewer.cpp
@@ -46,6 +46,7 @@
   token_ = claim.token;
   store_lease_ = claim.store_lease;
   valid_until_ = validity_end(claim.sent_at);
+  confirmed_at_ = claim.sent_at;
   last_pause_check_ = runtime_.now();
   previous_holders_.begin_term(claim.token, claim.forced);
 }
@@ -68,15 +69,33 @@
 }
 
 void Renewer::on_record_read(const store::ReadResult& result, TimePoint sent_at) {
+  if (!check_record(result, sent_at)) return;
   if (result.outcome == store::ReadOutcome::Unavailable) {
     renew_after(kRenewRetryInterval);
-  } else if (result.outcome == store::ReadOutcome::Missing || result.item.version != token_) {
-    lose();
   } else {
     renew_store_lease(sent_at);
   }
 }
 
+// Evaluates a read of the record. Returns false if the lease is lost.
+bool Renewer::check_record(const store::ReadResult& result, TimePoint sent_at) {
+  if (result.outcome == store::ReadOutcome::Unavailable) return true;
+  if (result.outcome == store::ReadOutcome::Missing || result.item.version != token_) {
+    lose();
+    return false;
+  }
+  confirmed_at_ = std::max(confirmed_at_, sent_at);
+  return true;
+}
+
+void Renewer::confirm(std::function<void()> done) {
+  auto on_read = [this, done = std::move(done),
+                  sent_at = runtime_.now()](const store::ReadResult& result) {
+    if (check_record(result, sent_at)) done();
+  };
+  store_.get_unqueued(options_.key, confirmation_.begin(std::move(on_read)));
+}
+
 void Renewer::renew_store_lease(TimePoint sent_at) {
   store_.renew_store_lease(store_lease_,
                            renewal_.wrap([this, sent_at](store::StoreLeaseOutcome outcome) {
@@ -145,6 +164,7 @@
   store_lease_ = 0;
   renewal_.cancel();
   pause_check_.cancel();
+  confirmation_.cancel();
   previous_holders_.end_term();
   on_lost_();
 }
--- a/src/lease/renewer.hpp
+++ b/src/lease/renewer.hpp
@@ -39,6 +39,11 @@
   /// Starts the periodic renewal. Called once, after begin_term().
   void start();
 
+  /// Reads the record at once, to move confirmed_at(). `done` runs after the read, unless the term
+  /// has ended by then; the read may have failed. A call while a read is outstanding replaces it.
+  /// Requires held().
+  void confirm(std::function<void()> done);
+
   /// Releases the lease and revokes its store lease. Requires held().
   void withdraw();
   /// Releases the lease. Keeps the record, instead of revoking the store lease, while a previous
@@ -53,6 +58,10 @@
   bool lease_valid() const;
   /// Fencing token of the term; 0 while the lease is not held.
   std::uint64_t token() const { return token_; }
+  /// Latest time at which no other node had claimed the record after this node's claim: when the
+  /// last read that found this node's record was sent. Unlike validity, it says nothing about later
+  /// times: after a forced claim, a successor may act while this lease is valid.
+  TimePoint confirmed_at() const { return confirmed_at_; }
   /// When all previous holders' leases have expired at the latest. Of the last term if the lease is
   /// not held.
   TimePoint previous_holders_expiry() const { return previous_holders_.expiry(); }
@@ -60,6 +69,7 @@
  private:
   void renew();
   void on_record_read(const store::ReadResult& result, TimePoint sent_at);
+  bool check_record(const store::ReadResult& result, TimePoint sent_at);
   void renew_store_lease(TimePoint sent_at);
   void on_store_lease_renewed(TimePoint sent_at);
   void renew_after(Duration delay);
@@ -70,12 +80,14 @@
   store::Store& store_;
   const Options& options_;
   std::function<void()> on_lost_;
-  CallbackGuard renewal_;      // the renewal in progress, or the timer of the next one
-  CallbackGuard pause_check_;  // the timer of the next pause check
+  CallbackGuard renewal_;       // the renewal in progress, or the timer of the next one
+  CallbackGuard pause_check_;   // the timer of the next pause check
+  CallbackGuard confirmation_;  // the read that confirm() has sent
   PreviousHolders previous_holders_;
   std::uint64_t token_ = 0;
   std::uint64_t store_lease_ = 0;
   TimePoint valid_until_{};
+  TimePoint confirmed_at_{};
   TimePoint last_pause_check_{};
 };
 
--- a/src/node/term_runner.cpp
+++ b/src/node/term_runner.cpp
@@ -4,7 +4,7 @@
 
 TermRunner::TermRunner(Runtime& runtime, store::Store& store, cloud::Cloud& cloud,
                        const Settings& settings, const cloud::Catalog& catalog,
-                       const leader::Election& election,
+                       leader::Election& election,
                        provisioning::ProvisioningController& provisioning)
     : runtime_(runtime),
       store_(store),
--- a/src/node/term_runner.hpp
+++ b/src/node/term_runner.hpp
@@ -25,7 +25,7 @@
  public:
   /// All references must outlive this object.
   TermRunner(Runtime& runtime, store::Store& store, cloud::Cloud& cloud, const Settings& settings,
-             const cloud::Catalog& catalog, const leader::Election& election,
+             const cloud::Catalog& catalog, leader::Election& election,
              provisioning::ProvisioningController& provisioning);
 
   /// Starts a new term, after ending one that is still running.
@@ -43,7 +43,7 @@
   cloud::Cloud& cloud_;
   const Settings& settings_;
   const cloud::Catalog& catalog_;
-  const leader::Election& election_;
+  leader::Election& election_;
   provisioning::ProvisioningController& provisioning_;
   std::shared_ptr<leader::Term> term_;
   std::shared_ptr<autoscale::Autoscaler> autoscaler_;
