Start a gang task again that waited in vain, in place of stopping the gang

It has lost a machine; the one that replaces it fetches the image for longer than gang_wait_s. All its tasks are stopped and begun anew, without end.

Cause: the task that has the image exits with `alone`, and a gang that loses a task was stopped whole, also before it had begun. The other task then gives its fetch up, so that the next attempt starts from where the last one did.

The answer to a direct command that still shows the earlier exit settles nothing.

--- a/src/cluster/machine_table.cpp
+++ b/src/cluster/machine_table.cpp
@@ -64,6 +64,7 @@
     return;
   }
   attempt.phase = Phase::Observed;
+  attempt.rejoins = false;
   if (adopted) {
     events.push_back({TaskEvent::Kind::Adopted, attempt});
   } else if (before != Phase::Observed) {
@@ -72,6 +73,18 @@
   if (begins_to_run) events.push_back({TaskEvent::Kind::Running, attempt});
 }
 
+/// Whether the response to a direct command may show an exit from before a start that is in flight.
+/// The worker may have answered the direct command before it received the response to an earlier
+/// heartbeat, which starts the same attempt again. Only the next heartbeat shows what became of it.
+bool exit_may_precede_start(const Machine& machine, const TaskStatus& status,
+                            MachineTable::Source source) {
+  if (source != MachineTable::Source::DirectResponse) return false;
+  if (status.state != TaskState::Exited) return false;
+  const auto entry = machine.attempts.find({status.attempt, status.task});
+  return entry != machine.attempts.end() && entry->second.rejoins &&
+         entry->second.phase == Phase::Dispatched;
+}
+
 /// Whether an attempt stays in the table although the heartbeat does not list it. The start command
 /// of a pending attempt has not been sent. The response to an earlier heartbeat, with a start
 /// command, may still be in flight while the worker answers a direct command, so only the next
@@ -139,7 +152,10 @@
   // A worker kills and forgets all tasks before it begins a new epoch.
   if (heartbeat.epoch > machine.epoch) clear(machine, events);
   update_machine(machine, heartbeat, now);
-  for (const auto& status : heartbeat.tasks) update_attempt(machine, status, now, cache_gb, events);
+  for (const auto& status : heartbeat.tasks) {
+    if (exit_may_precede_start(machine, status, source)) continue;
+    update_attempt(machine, status, now, cache_gb, events);
+  }
   remove_unlisted(machine, source, events);
   return ApplyResult::Applied;
 }
--- a/src/cluster/task_attempt.hpp
+++ b/src/cluster/task_attempt.hpp
@@ -21,8 +21,8 @@
 
 /// An attempt that runs, or may run, on a machine, or has exited there. Owned by cluster::Machine.
 struct TaskAttempt {
-  /// Phase of the attempt, as the leader knows it. Phases follow in this order; none is entered
-  /// again.
+  /// Phase of the attempt, as the leader knows it. Phases follow in this order. Only an attempt
+  /// that begin_rejoin() returns to Pending goes through them again.
   enum class Phase {
     Pending,     ///< assigned; no start command has been sent
     Dispatched,  ///< the start command is in the response to the last heartbeat; the next heartbeat
@@ -45,11 +45,22 @@
   std::optional<Seconds> stop_grace;
   /// Terminated: the worker may drop it from its heartbeats.
   bool acknowledge = false;
+  /// Pending or Dispatched: the worker has listed an exit of the same attempt, so the start must
+  /// follow an acknowledgement. See begin_rejoin().
+  bool rejoins = false;
 
   /// Whether it holds resources of its machine.
   bool holds_resources() const { return phase != Phase::Terminated; }
   /// Whether a stop command has been sent or is due.
   bool stopping() const { return stop_grace.has_value(); }
+  /// Returns an attempt that waited in vain for the other tasks of its gang to Pending. It is to be
+  /// started again on the same machine under the same number, so that it completes the gang.
+  void begin_rejoin() {
+    phase = Phase::Pending;
+    state = TaskState::Fetching;
+    cause = ExitCause::None;
+    rejoins = true;
+  }
 };
 
 }  // namespace asterstair::cluster
--- a/src/leader/attempt_tracker.cpp
+++ b/src/leader/attempt_tracker.cpp
@@ -112,6 +112,7 @@
     on_done(machine, attempt, *job);  // acknowledged once the completion is durable
     return;
   }
+  if (job != nullptr && rejoin_gang(machine, attempt, *job)) return;
   machine.attempts.at({attempt.attempt, attempt.task}).acknowledge = true;
   if (job != nullptr) on_failed(machine, attempt, *job);
 }
@@ -129,6 +130,28 @@
   if (job.all_done()) progress_.complete(job);
 }
 
+// A gang task that exits because the gang was not complete within `gang_wait_s` is started again at
+// once, with the same attempt number (PROTOCOL, Gangs: a replacement with the same attempt number
+// completes the gang). If the whole gang were stopped instead, the tasks that still fetch the image
+// would give the fetch up, and the next attempt would end like this one. Returns false if the gang
+// must be stopped: the machine may get no more work, or another task of the gang is lost.
+bool AttemptTracker::rejoin_gang(Machine& machine, const TaskAttempt& attempt, const Job& job) {
+  if (attempt.cause != ExitCause::PeersMissing) return false;
+  if (!may_start_again(machine, attempt, job)) return false;
+  log::debug("task {}/{} rejoins its gang on {}", attempt.task.job, attempt.task.index, machine.id);
+  machine.attempts.at({attempt.attempt, attempt.task}).begin_rejoin();
+  machine.usage_stale = true;
+  return true;
+}
+
+// Whether an attempt that is not on its machine may be started there once more, because nothing has
+// changed: no other task of its job is lost, and the machine may get work.
+bool AttemptTracker::may_start_again(const Machine& machine, const TaskAttempt& attempt,
+                                     const Job& job) const {
+  return !attempt.stopping() && is_assigned(job, machine, attempt) && job.waiting.empty() &&
+         health_.schedulable(machine);
+}
+
 void AttemptTracker::on_failed(Machine& machine, const TaskAttempt& attempt, Job& job) {
   log::debug("task {}/{} ended on {}: {}{}", attempt.task.job, attempt.task.index, machine.id,
              cause_name(attempt.cause), attempt.saved ? ", saved" : "");
@@ -154,17 +177,20 @@
   log::debug("task {}/{} lost on {}", attempt.task.job, attempt.task.index, machine.id);
 }
 
+bool AttemptTracker::is_assigned(const Job& job, const Machine& machine,
+                                 const TaskAttempt& attempt) {
+  const auto assignment = job.assignments.find(attempt.task.index);
+  return assignment != job.assignments.end() && assignment->second.machine == machine.id &&
+         assignment->second.attempt == attempt.attempt;
+}
+
 // Keeps the task's checkpointed progress, and returns the task to the waiting tasks. Returns false
 // if the task was not assigned to this attempt.
 bool AttemptTracker::unassign(const Machine& machine, const TaskAttempt& attempt) {
   Job* job = cluster_.jobs.find(attempt.task.job);
   if (job == nullptr) return false;
+  if (!is_assigned(*job, machine, attempt)) return false;
   const auto task = attempt.task.index;
-  const auto assignment = job->assignments.find(task);
-  if (assignment == job->assignments.end() || assignment->second.machine != machine.id ||
-      assignment->second.attempt != attempt.attempt) {
-    return false;
-  }
   if (attempt.running_since) {
     if (job->spec->checkpoint_interval.count() > 0) {
       job->saved_seconds[task] += saved_seconds(attempt, *job->spec, context_.now());
--- a/src/leader/attempt_tracker.hpp
+++ b/src/leader/attempt_tracker.hpp
@@ -42,8 +42,14 @@
   void on_adopted(cluster::Machine& machine, const cluster::TaskAttempt& attempt);
   void on_exited(cluster::Machine& machine, const cluster::TaskAttempt& attempt);
   void on_done(cluster::Machine& machine, const cluster::TaskAttempt& attempt, cluster::Job& job);
+  bool rejoin_gang(cluster::Machine& machine, const cluster::TaskAttempt& attempt,
+                   const cluster::Job& job);
+  bool may_start_again(const cluster::Machine& machine, const cluster::TaskAttempt& attempt,
+                       const cluster::Job& job) const;
   void on_failed(cluster::Machine& machine, const cluster::TaskAttempt& attempt, cluster::Job& job);
   void on_lost(const cluster::Machine& machine, const cluster::TaskAttempt& attempt);
+  static bool is_assigned(const cluster::Job& job, const cluster::Machine& machine,
+                          const cluster::TaskAttempt& attempt);
   // Returns false if the task was not assigned to this attempt.
   bool unassign(const cluster::Machine& machine, const cluster::TaskAttempt& attempt);
   void log_first_run(cluster::Job& job);
--- a/src/leader/heartbeat_commands.cpp
+++ b/src/leader/heartbeat_commands.cpp
@@ -9,6 +9,8 @@
 
 // Maximum in one response, so that its length does not exceed the protocol's limit.
 constexpr std::size_t kMaxCommands = 300;
+// A start may follow the acknowledgement of the same attempt's earlier exit.
+constexpr std::size_t kMaxCommandsPerStart = 2;
 
 }  // namespace
 
@@ -67,13 +69,17 @@
 void HeartbeatCommands::add_starts(Machine& machine, std::vector<Command>& commands) const {
   if (!machine.registered || launches_suspended_ || !health_.schedulable(machine)) return;
   for (auto& [id, attempt] : machine.attempts) {
-    if (commands.size() >= kMaxCommands) return;
+    if (commands.size() + kMaxCommandsPerStart > kMaxCommands) return;
     const Job* job = cluster_.jobs.find(attempt.task.job);
     if (attempt.phase != TaskAttempt::Phase::Pending || job == nullptr) continue;
     if (job->start_record != Job::StartRecord::Durable) continue;
     Command start{Command::Op::Start, attempt.task, attempt.attempt};
     start.checkpoint_interval = gangs_.checkpoint_interval(*job, machine);
     attempt.phase = TaskAttempt::Phase::Dispatched;
+    // Until its earlier exit is acknowledged, the worker ignores the start of the same attempt.
+    if (attempt.rejoins) {
+      commands.push_back({Command::Op::Acknowledge, attempt.task, attempt.attempt});
+    }
     commands.push_back(std::move(start));
   }
 }
--- a/tests/machine_table_test.cpp
+++ b/tests/machine_table_test.cpp
@@ -66,4 +66,24 @@
   EXPECT_TRUE(machine.attempts.empty());
 }
 
+// A gang task that waited in vain is started again under the same number. A direct response may
+// still show its earlier exit while the response with that start is in flight. If the exit counted,
+// the task could be started elsewhere too. Only the next heartbeat settles it.
+TEST_F(MachineTable, KeepsARejoiningAttemptWhoseEarlierExitADirectResponseShows) {
+  const TaskStatus exited{{"req-1", 0}, 9, TaskState::Exited, ExitCause::PeersMissing, false};
+  machines.apply(heartbeat_of(1, 1, {exited}), {}, 0, events);
+  auto& machine = machines.at("n-1");
+  auto& attempt = machine.attempts.at({9, {"req-1", 0}});
+  attempt.begin_rejoin();
+  attempt.phase = cluster::TaskAttempt::Phase::Dispatched;
+  events.clear();
+  machines.apply(heartbeat_of(1, 2, {exited}), {}, 0, events,
+                 cluster::MachineTable::Source::DirectResponse);
+  EXPECT_TRUE(events.empty());
+  EXPECT_EQ(attempt.phase, cluster::TaskAttempt::Phase::Dispatched);
+  machines.apply(heartbeat_of(1, 3, {exited}), {}, 0, events);
+  ASSERT_EQ(events.size(), 1U);
+  EXPECT_EQ(events[0].kind, cluster::TaskEvent::Kind::Exited);
+}
+
 }  // namespace
