Repeat the start of a gang task whose response was lost

Cause: an attempt whose start a heartbeat shows to be lost was unassigned, which stops the whole gang. Nothing had changed that called for another placement.

Change: the start is sent again, on the same machine and under the same number, unless another task is lost or the machine may get no work.

Evidence: GangStart.KeepsItsAttemptWhenAResponseWithAStartIsLost fails without it.

--- a/src/leader/attempt_tracker.cpp
+++ b/src/leader/attempt_tracker.cpp
@@ -70,7 +70,7 @@
       on_exited(machine, event.attempt);
       break;
     case TaskEvent::Kind::NotStarted:
-      unassign(machine, event.attempt);
+      on_not_started(machine, event.attempt);
       break;
     case TaskEvent::Kind::Vanished:
       on_lost(machine, event.attempt);
@@ -144,6 +144,23 @@
   return true;
 }
 
+// The start of a gang task was lost with its response. It is sent again: if the task were assigned
+// anew, the whole gang would have to be stopped and begin again. Other tasks, and those whose start
+// was never sent, wait to be assigned again.
+void AttemptTracker::on_not_started(Machine& machine, const TaskAttempt& attempt) {
+  const Job* job = cluster_.jobs.find(attempt.task.job);
+  const bool start_was_lost = attempt.phase == TaskAttempt::Phase::Dispatched;
+  if (job == nullptr || !job->spec->gang() || !start_was_lost ||
+      !may_start_again(machine, attempt, *job)) {
+    unassign(machine, attempt);
+    return;
+  }
+  TaskAttempt again = attempt;
+  again.phase = TaskAttempt::Phase::Pending;
+  machine.attempts.insert_or_assign({attempt.attempt, attempt.task}, std::move(again));
+  machine.usage_stale = true;
+}
+
 // Whether an attempt that is not on its machine may be started there once more, because nothing has
 // changed: no other task of its job is lost, and the machine may get work.
 bool AttemptTracker::may_start_again(const Machine& machine, const TaskAttempt& attempt,
--- a/src/leader/attempt_tracker.hpp
+++ b/src/leader/attempt_tracker.hpp
@@ -44,6 +44,7 @@
   void on_done(cluster::Machine& machine, const cluster::TaskAttempt& attempt, cluster::Job& job);
   bool rejoin_gang(cluster::Machine& machine, const cluster::TaskAttempt& attempt,
                    const cluster::Job& job);
+  void on_not_started(cluster::Machine& machine, const cluster::TaskAttempt& attempt);
   bool may_start_again(const cluster::Machine& machine, const cluster::TaskAttempt& attempt,
                        const cluster::Job& job) const;
   void on_failed(cluster::Machine& machine, const cluster::TaskAttempt& attempt, cluster::Job& job);
--- a/tests/gang_start_test.cpp
+++ b/tests/gang_start_test.cpp
@@ -3,9 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
 #include <string>
 
 #include "sim/scenario.hpp"
+#include "sim/traffic.hpp"
 
 namespace {
 
@@ -99,6 +101,36 @@
   }
 }
 
+// The response that starts one task of a gang is lost. The gang was stopped whole and began anew,
+// and the other tasks gave their fetches up, though only that response had to be repeated. Guard:
+// AttemptTracker::on_not_started.
+TEST(GangStart, KeepsItsAttemptWhenAResponseWithAStartIsLost) {
+  for (const std::uint64_t seed : {151, 152, 153}) {
+    Scenario scenario(seed);
+    std::set<std::uint64_t> attempts;
+    std::set<std::string> lost;
+    scenario.network.alter_response = [&](const std::string&, const HttpRequest& request,
+                                          HttpResponse& response) {
+      if (!is_accepted_heartbeat(request, response)) return;
+      const auto orders = Json::parse(response.body)["orders"];
+      for (const auto& command : orders) {
+        if (command["verb"] != "run") continue;
+        attempts.insert(command["try"].get<std::uint64_t>());
+        const bool first_for_machine =
+            lost.size() < 2 && lost.insert(Json::parse(request.body)["host"]).second;
+        if (first_for_machine) response = {};
+      }
+    };
+    const auto id = scenario.users.submit(gang_job(5));
+    ASSERT_TRUE(run_until_present(scenario, id, 5));
+    EXPECT_EQ(lost.size(), 2U);
+    EXPECT_EQ(attempts.size(), 1U) << "seed " << seed;
+    scenario.run_until(scenario.simulator.elapsed() + kRunS + 10);
+    EXPECT_EQ(scenario.checker.final_stage(id), "done") << "seed " << seed;
+    EXPECT_TRUE(scenario.checker.violations.empty()) << scenario.checker.report();
+  }
+}
+
 // However long an array task fetches its image, it is started once: nothing stops it and begins it
 // anew while nothing has changed.
 TEST(ArrayStart, LeavesTasksThatFetchForLongAlone) {
