Compare amounts of resources with the same functions everywhere

Cause: admission compared the quotient of need and capacity with a tolerance, placement the amounts, so that the first called such a task able to run and the second never found room. By reading, renting divided by zero for it.

Change: base/amounts.hpp has the two comparisons, and both say "one task fits" for the same amounts. Admission's own tolerance is gone.

Evidence: Catalog.RejectsTasksThatAreSlightlyLargerThanAnyMachine fails with the quotient in place.

--- a/src/autoscale/desired_machines.cpp
+++ b/src/autoscale/desired_machines.cpp
@@ -96,7 +96,7 @@
     if (job.memory_gb > 0) tasks = std::min(tasks, type.memory_gb / job.memory_gb);
     const double expected_runs = 1 + sched::loss_probability(loss_rate, demand.remaining);
     const double price = spot ? type.spot_price : type.price;
-    return price * expected_runs / std::floor(tasks + sched::kRoundingTolerance);
+    return price * expected_runs / std::floor(tasks + kRoundingTolerance);
   }
 
   // Whether the job may use the type. Accelerators are reserved for jobs that need them, unless the
--- a/src/base/model.cpp
+++ b/src/base/model.cpp
@@ -1,7 +1,8 @@
 #include "base/model.hpp"
 
 #include <algorithm>
-#include <cmath>
+
+#include "base/amounts.hpp"
 
 namespace asterstair {
 
@@ -14,12 +15,9 @@
 }
 
 std::uint32_t MachineType::max_tasks(const JobSpec& job) const {
-  // Prevents a rounding error in an integral quotient from costing one task.
-  constexpr double kSlack = 1e-6;
-  double tasks = job.tasks;
-  if (job.cpus > 0) tasks = std::min(tasks, std::floor(cpus / job.cpus + kSlack));
-  if (job.gpus > 0) tasks = std::min(tasks, std::floor(gpus / job.gpus + kSlack));
-  if (job.memory_gb > 0) tasks = std::min(tasks, std::floor(memory_gb / job.memory_gb + kSlack));
+  const double tasks =
+      std::min({static_cast<double>(job.tasks), whole_tasks(cpus, job.cpus),
+                whole_tasks(gpus, job.gpus), whole_tasks(memory_gb, job.memory_gb)});
   return static_cast<std::uint32_t>(std::max(0.0, tasks));
 }
 
--- a/src/frontend/admission.cpp
+++ b/src/frontend/admission.cpp
@@ -1,18 +1,14 @@
 #include "frontend/admission.hpp"
 
+#include "base/amounts.hpp"
 #include "frontend/responses.hpp"
 #include "wire/user.hpp"
 
 namespace asterstair::frontend {
 namespace {
 
-// Tolerance for rounding errors in sums of fractional CPUs.
-constexpr double kRoundingTolerance = 1e-6;
-
 // Returns whether the need exceeds the limit. A limit of 0 means no limit.
-bool exceeds(double needed, double limit) {
-  return limit > 0 && needed > limit + kRoundingTolerance;
-}
+bool exceeds(double needed, double limit) { return limit > 0 && !covers(limit, needed); }
 
 // Returns whether the job can never run within its team's limit. A gang needs resources for all its
 // tasks at once, any other job for at least one task.
--- a/src/sched/resources.cpp
+++ b/src/sched/resources.cpp
@@ -5,8 +5,8 @@
 namespace asterstair::sched {
 
 bool fits(const JobSpec& job, const Resources& free) {
-  return free.cpus + kRoundingTolerance >= job.cpus && free.gpus + kRoundingTolerance >= job.gpus &&
-         free.memory_gb + kRoundingTolerance >= job.memory_gb;
+  return covers(free.cpus, job.cpus) && covers(free.gpus, job.gpus) &&
+         covers(free.memory_gb, job.memory_gb);
 }
 
 std::uint32_t tasks_that_fit(const JobSpec& job, const Resources& free) {
--- a/src/sched/resources.hpp
+++ b/src/sched/resources.hpp
@@ -3,24 +3,16 @@
 /// Amounts of resources, and how many tasks fit into them. Pure functions, called by the planner,
 /// the leader's snapshot builder and the autoscaler.
 
-#include <algorithm>
-#include <cmath>
 #include <cstdint>
 
+#include "base/amounts.hpp"
 #include "base/model.hpp"
 
 namespace asterstair::sched {
 
-/// Tolerance for comparing task counts and amounts of resources: sums of decimal fractions have
-/// rounding errors.
-inline constexpr double kRoundingTolerance = 1e-6;
-
 /// Number of processors that one accelerator is worth where the two are compared or added.
 inline constexpr double kCpusPerGpu = 10;
 
-/// Task count that means "no limit". It converts to std::uint32_t without overflow.
-inline constexpr double kUnlimitedTasks = 1e9;
-
 /// Amounts of resources that machines offer and tasks use.
 struct Resources {
   double cpus = 0;       ///< Processors.
@@ -42,13 +34,6 @@
   }
 };
 
-/// Returns how many tasks the available amount of one resource allows, rounded down. The result is
-/// negative if the resource is overcommitted, and kUnlimitedTasks if a task needs none of it.
-inline double whole_tasks(double available, double per_task) {
-  if (per_task <= 0) return kUnlimitedTasks;
-  return std::min(kUnlimitedTasks, std::floor(available / per_task + kRoundingTolerance));
-}
-
 /// Returns whether one task of the job fits into the free resources.
 bool fits(const JobSpec& job, const Resources& free);
 
--- a/tests/job_submission_test.cpp
+++ b/tests/job_submission_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "cloud/catalog.hpp"
+#include "sched/resources.hpp"
 #include "store/records.hpp"
 #include "wire/user.hpp"
 
@@ -96,4 +97,19 @@
   EXPECT_FALSE(catalog.can_hold(job));
 }
 
+// A task that was larger than any machine by less than a millionth of itself was accepted and never
+// placed: admission compared the quotient, placement the amounts. Guard: base/amounts.hpp.
+TEST(Catalog, RejectsTasksThatAreSlightlyLargerThanAnyMachine) {
+  cloud::Catalog catalog;
+  catalog.set({{"g8", 96, 8, 256, 200, 1, 12, 4.5, Seconds(45), {"a", "b"}}});
+  const sched::Resources empty{96, 8, 256};
+  auto job = wire::decode_job(wire::parse(kJob));
+  for (const double memory_gb : {256.0, 256 + 5e-7, 256.0001, 256.00001, 257.0}) {
+    job.memory_gb = memory_gb;
+    EXPECT_EQ(catalog.can_hold(job), sched::fits(job, empty)) << memory_gb;
+    EXPECT_EQ(catalog.can_hold(job), sched::tasks_that_fit(job, empty) == 1) << memory_gb;
+  }
+  EXPECT_FALSE(catalog.can_hold(job));
+}
+
 }  // namespace
