Rent machines with accelerators where no other type can hold a job

Cause: renting kept such types from jobs that need no accelerator without asking whether another type can hold them, while admission and placement accept them. For arrays it asked how long their queue on the machines that are up is, which counted as nothing with none up.

Change: such types are held back only while another can ever hold the job, by the question that admission asks (MachineType::can_hold_task). With nothing up or on its way the queue counts as endless. Zones to rent in follow the rule that placement uses, with the job's other tasks. Types whose accelerators would go unused are looked at only if the cloud has no other.

--- a/src/autoscale/desired_machines.cpp
+++ b/src/autoscale/desired_machines.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <iterator>
 #include <optional>
 
 #include "sched/score.hpp"
@@ -24,8 +26,9 @@
   bool spot;
   sched::Resources free;  // resources that are not reserved for tasks
 
-  bool allows(const JobSpec& job) const {
-    return job.allows_type(type->name) && (!spot || job.spot) && (!job.zone || *job.zone == zone);
+  bool allows(const leader::Demand& demand) const {
+    const JobSpec& job = *demand.job;
+    return job.allows_type(type->name) && (!spot || job.spot) && demand.allows_zone(zone);
   }
   // Reserves resources for up to `limit` tasks. Returns the number of tasks that fit.
   std::uint32_t fill(const JobSpec& job, std::uint32_t limit) {
@@ -38,6 +41,14 @@
   }
 };
 
+// Returns the zones of the type in which the job's zone constraints allow one more task.
+std::vector<std::string> allowed_zones(const leader::Demand& demand, const MachineType& type) {
+  std::vector<std::string> zones;
+  std::copy_if(type.zones.begin(), type.zones.end(), std::back_inserter(zones),
+               [&](const std::string& zone) { return demand.allows_zone(zone); });
+  return zones;
+}
+
 // A machine type at its spot price or its on-demand price.
 struct Offer {
   const MachineType* type = nullptr;
@@ -61,7 +72,7 @@
     std::uint32_t remaining_tasks = demand.tasks;
     for (auto& machine : machines_) {
       if (remaining_tasks == 0) return;
-      if (machine.allows(job)) remaining_tasks -= machine.fill(job, remaining_tasks);
+      if (machine.allows(demand)) remaining_tasks -= machine.fill(job, remaining_tasks);
     }
     if (remaining_tasks == 0) return;
     if (const auto offer = best_offer(demand)) add_new_machines(demand, *offer, remaining_tasks);
@@ -72,12 +83,12 @@
  private:
   // Returns the lowest loss rate of the zones that the job allows and that have not refused such
   // machines lately; nothing if there is no such zone.
-  std::optional<double> lowest_loss_rate(const JobSpec& job, const MachineType& type,
+  std::optional<double> lowest_loss_rate(const leader::Demand& demand, const MachineType& type,
                                          bool spot) const {
     std::optional<double> lowest;
-    for (const auto& zone : type.zones) {
+    for (const auto& zone : allowed_zones(demand, type)) {
       const Pool pool{type.name, zone, spot};
-      if ((job.zone && *job.zone != zone) || market_.is_refused(pool)) continue;
+      if (market_.is_refused(pool)) continue;
       const double rate = market_.loss_rate(pool);
       lowest = lowest ? std::min(*lowest, rate) : rate;
     }
@@ -89,43 +100,60 @@
   // again.
   static double price_per_task(const leader::Demand& demand, const MachineType& type, bool spot,
                                double loss_rate) {
-    constexpr double kMinCpus = 1e-9;  // avoids a division by zero
-    const JobSpec& job = *demand.job;
-    double tasks = type.cpus / std::max(job.cpus, kMinCpus);
-    if (job.gpus > 0) tasks = std::min(tasks, type.gpus / job.gpus);
-    if (job.memory_gb > 0) tasks = std::min(tasks, type.memory_gb / job.memory_gb);
     const double expected_runs = 1 + sched::loss_probability(loss_rate, demand.remaining);
     const double price = spot ? type.spot_price : type.price;
-    return price * expected_runs / std::floor(tasks + kRoundingTolerance);
+    return price * expected_runs / sched::tasks_that_fit(*demand.job, capacity_of(type));
   }
 
-  // Whether the job may use the type. Accelerators are reserved for jobs that need them, unless the
-  // backlog of job arrays without accelerators is long.
-  bool is_candidate(const JobSpec& job, const MachineType& type) const {
-    if (!job.allows_type(type.name) || type.max_tasks(job) == 0) return false;
-    if (job.gpus > 0 || type.gpus <= 0) return true;
-    return !job.gang() && market_.backlog >= type.boot * kMinBacklogBoots;
+  // Whether a type without accelerators can ever run the job, whether the cloud has any now or not.
+  bool runs_without_accelerators(const leader::Demand& demand) const {
+    const auto& types = market_.catalog.types();
+    return std::any_of(types.begin(), types.end(), [&](const auto& entry) {
+      const MachineType& type = entry.second;
+      return type.gpus <= 0 && type.can_hold_task(*demand.job) &&
+             !allowed_zones(demand, type).empty();
+    });
+  }
+
+  // Whether accelerators may go unused on a machine of the type. They are kept for jobs that need
+  // them, unless no other type can ever run the job, it has waited for long, or the backlog of job
+  // arrays without accelerators is long.
+  bool may_waste_accelerators(const leader::Demand& demand, const MachineType& type) const {
+    if (demand.overdue || !runs_without_accelerators(demand)) return true;
+    return !demand.job->gang() && market_.backlog >= type.boot * kMinBacklogBoots;
   }
 
   // Urgent demand prefers the shortest boot time, then the lowest price. Other demand prefers the
   // lowest price.
   static bool is_better(const leader::Demand& demand, const Offer& offer, const Offer& best) {
-    const bool wastes_accelerators =
-        demand.job->gpus <= 0 && best.type->gpus <= 0 && offer.type->gpus > 0;
-    if (wastes_accelerators) return false;
     if (demand.urgent && offer.type->boot != best.type->boot) {
       return offer.type->boot < best.type->boot;
     }
     return offer.price < best.price;
   }
 
+  // Machines whose accelerators would go unused are considered only if the cloud has no others.
   std::optional<Offer> best_offer(const leader::Demand& demand) const {
+    const auto wastes_accelerators = [&](const MachineType& type) {
+      return demand.job->gpus <= 0 && type.gpus > 0;
+    };
+    const auto best =
+        best_offer_of(demand, [&](const MachineType& type) { return !wastes_accelerators(type); });
+    if (best) return best;
+    return best_offer_of(demand, [&](const MachineType& type) {
+      return wastes_accelerators(type) && may_waste_accelerators(demand, type);
+    });
+  }
+
+  std::optional<Offer> best_offer_of(
+      const leader::Demand& demand,
+      const std::function<bool(const MachineType&)>& is_candidate) const {
     std::optional<Offer> best;
     for (const auto& [name, type] : market_.catalog.types()) {
-      if (!is_candidate(*demand.job, type)) continue;
+      if (!type.can_hold_task(*demand.job) || !is_candidate(type)) continue;
       for (const bool spot : {true, false}) {
         if (spot && !demand.job->spot) continue;
-        const auto rate = lowest_loss_rate(*demand.job, type, spot);
+        const auto rate = lowest_loss_rate(demand, type, spot);
         if (!rate) continue;
         const Offer offer{&type, spot, price_per_task(demand, type, spot, *rate)};
         if (!best || is_better(demand, offer, *best)) best = offer;
@@ -137,8 +165,8 @@
   void add_new_machines(const leader::Demand& demand, const Offer& offer, std::uint32_t tasks) {
     const JobSpec& job = *demand.job;
     const MachineType& type = *offer.type;
-    const std::string zone = job.zone.value_or(type.zones.front());
-    PlannedMachine empty{&type, zone, offer.spot, capacity_of(type)};
+    const auto zones = allowed_zones(demand, type);
+    PlannedMachine empty{&type, zones.front(), offer.spot, capacity_of(type)};
     const std::uint32_t per_machine = PlannedMachine(empty).fill(job, tasks);
     // Tasks that are shorter than the boot time run in several waves on fewer machines, for about
     // one boot time in total: further machines would boot too late for them.
@@ -147,25 +175,24 @@
         std::max(1.0, type.boot.count() / std::max(demand.remaining.count(), 1.0));
     const auto count =
         static_cast<std::size_t>(std::max(1.0, std::ceil(machines_for_one_wave / wave_count)));
-    add_desired(job, offer, count);
+    add_desired(offer, zones, count);
     for (std::size_t i = 0; i < count; ++i) {
       machines_.push_back(empty);
       machines_.back().fill(job, per_machine);
     }
   }
 
-  // Merges machines of the same type, price class and zone rule into one entry, because the cloud
+  // Merges machines of the same type, price class and zones into one entry, because the cloud
   // limits the number of requests.
-  void add_desired(const JobSpec& job, const Offer& offer, std::size_t count) {
+  void add_desired(const Offer& offer, const std::vector<std::string>& zones, std::size_t count) {
     const auto is_same = [&](const DesiredMachines& other) {
-      return other.type == offer.type->name && other.spot == offer.spot &&
-             other.job->zone == job.zone;
+      return other.type == offer.type->name && other.spot == offer.spot && other.zones == zones;
     };
     const auto same = std::find_if(desired_.begin(), desired_.end(), is_same);
     if (same != desired_.end()) {
       same->count += count;
     } else {
-      desired_.push_back({offer.type->name, count, offer.spot, &job});
+      desired_.push_back({offer.type->name, count, offer.spot, zones});
     }
   }
 
--- a/src/autoscale/desired_machines.hpp
+++ b/src/autoscale/desired_machines.hpp
@@ -13,12 +13,12 @@
 
 namespace asterstair::autoscale {
 
-/// Machines of one type to rent, in any zone that the job allows.
+/// Machines of one type to rent.
 struct DesiredMachines {
-  std::string type;              ///< name of the machine type
-  std::size_t count = 0;         ///< number of machines
-  bool spot = false;             ///< spot machines; otherwise on-demand machines
-  const JobSpec* job = nullptr;  ///< the first job that needs them; its zone rule applies
+  std::string type;                ///< name of the machine type
+  std::size_t count = 0;           ///< number of machines
+  bool spot = false;               ///< spot machines; otherwise on-demand machines
+  std::vector<std::string> zones;  ///< the zones in which they may be
 };
 
 /// Machine types, recent capacity and loss rates, and the backlog of work.
@@ -27,7 +27,8 @@
   const cloud::Catalog& catalog;
   std::function<bool(const Pool&)> is_refused;   ///< whether the pool had no capacity lately
   std::function<double(const Pool&)> loss_rate;  ///< expected losses per machine and second
-  /// How long job arrays without accelerators are estimated to queue on the existing machines.
+  /// How long job arrays without accelerators are estimated to queue on the existing machines;
+  /// Seconds::max() if there are none.
   Seconds backlog{0};
 };
 
--- a/src/autoscale/scale_out.cpp
+++ b/src/autoscale/scale_out.cpp
@@ -61,10 +61,9 @@
                                                  const CountByZone& counts) const {
   std::optional<std::string> best;
   std::size_t fewest = 0;
-  for (const auto& zone : catalog_.find(desired.type)->zones) {
+  for (const auto& zone : desired.zones) {
     const Pool pool{desired.type, zone, desired.spot};
     if (is_refused(pool) || requested.count(pool) != 0) continue;
-    if (desired.job->zone && *desired.job->zone != zone) continue;
     const auto it = counts.find(zone);
     const std::size_t count = it == counts.end() ? 0 : it->second;
     if (best && count >= fewest) continue;
@@ -102,19 +101,31 @@
                              now);
 }
 
-// Estimates how long the job arrays without accelerators will queue on the existing machines.
+// Estimates how long the job arrays without accelerators will queue on the existing machines. While
+// none is up, on the pending ones.
 Seconds ScaleOut::backlog() const {
   double cpu_seconds = 0;
   for (const auto& demand : term_.demand()) {
     if (demand.job->gpus > 0 || demand.job->gang()) continue;
     cpu_seconds += demand.tasks * demand.job->cpus * demand.remaining.count();
   }
+  if (cpu_seconds <= 0) return Seconds(0);
   double cpus = 0;
   for (const auto& [id, machine] : term_.machines().all()) {
     const auto* type = catalog_.find(machine.type);
     if (type != nullptr && machine.reconciled && !machine.lease_expired) cpus += type->cpus;
   }
-  return Seconds(cpus > 0 ? cpu_seconds / cpus : 0);
+  if (cpus <= 0) cpus = pending_cpus();
+  return cpus > 0 ? Seconds(cpu_seconds / cpus) : Seconds::max();
+}
+
+double ScaleOut::pending_cpus() const {
+  double cpus = 0;
+  for (const auto& [id, machine] : begin_round().pending) {
+    const auto* type = catalog_.find(machine.pool.type);
+    if (type != nullptr) cpus += type->cpus;
+  }
+  return cpus;
 }
 
 bool ScaleOut::is_refused(const Pool& pool) const {
--- a/src/base/model.cpp
+++ b/src/base/model.cpp
@@ -21,4 +21,8 @@
   return static_cast<std::uint32_t>(std::max(0.0, tasks));
 }
 
+bool MachineType::can_hold_task(const JobSpec& job) const {
+  return job.allows_type(name) && max_tasks(job) > 0;
+}
+
 }  // namespace asterstair
--- a/src/base/model.hpp
+++ b/src/base/model.hpp
@@ -93,6 +93,9 @@
 
   /// Returns the maximum number of the job's tasks that fit on one empty machine.
   std::uint32_t max_tasks(const JobSpec& job) const;
+
+  /// Whether the job may use machines of the type, and one of its tasks fits on an empty one.
+  bool can_hold_task(const JobSpec& job) const;
 };
 
 /// Identifies a task.
--- a/src/cloud/catalog.cpp
+++ b/src/cloud/catalog.cpp
@@ -7,7 +7,7 @@
 bool Catalog::can_hold(const JobSpec& job) const {
   std::set<std::string> zones;
   for (const auto& [name, type] : types_) {
-    if (!job.allows_type(name) || type.max_tasks(job) == 0) continue;
+    if (!type.can_hold_task(job)) continue;
     for (const auto& zone : type.zones) {
       if (!job.zone || *job.zone == zone) zones.insert(zone);
     }
--- a/src/leader/scheduling_loop.cpp
+++ b/src/leader/scheduling_loop.cpp
@@ -133,8 +133,8 @@
     const auto& team = input.snapshot.teams.at(planned.job->team);
     const auto tasks = std::min(job.waiting.size(), sched::tasks_within_quota(team, *planned.job));
     if (tasks < 1) continue;
-    demand_.push_back(
-        {job.spec, tasks, planned.remaining, planned.slack, urgent && planned.guaranteed});
+    demand_.push_back({job.spec, tasks, planned.remaining, planned.slack,
+                       urgent && planned.guaranteed, planned.overdue, planned.in_zone});
   }
 }
 
--- a/src/leader/scheduling_loop.hpp
+++ b/src/leader/scheduling_loop.hpp
@@ -16,6 +16,7 @@
 #include "leader/snapshot_builder.hpp"
 #include "leader/term_context.hpp"
 #include "leader/term_recovery.hpp"
+#include "sched/constraints.hpp"
 #include "sched/snapshot.hpp"
 
 namespace asterstair::leader {
@@ -30,6 +31,14 @@
   /// Whether the team's guaranteed quota covers the job and the operator has set an objective for
   /// how soon guaranteed work starts.
   bool urgent = false;
+  /// Whether no task has been on any machine for sched::kOverdueAfter.
+  bool overdue = false;
+  sched::TasksByZone in_zone;  ///< the job's tasks that are or may be on machines, by zone
+
+  /// Whether the job's zone constraints allow one more task in the zone.
+  bool allows_zone(const std::string& zone) const {
+    return sched::tasks_allowed_in_zone(*job, in_zone, zone) > 0;
+  }
 };
 
 /// Runs the scheduler periodically and on request, and assigns tasks to machines by its plan. The
