--- a/src/leader/direct_command_dispatcher.cpp
+++ b/src/leader/direct_command_dispatcher.cpp
@@ -19,14 +19,16 @@
 
 }  // namespace
 
-void DirectCommandDispatcher::send(const std::vector<DirectCommand>& commands, Response response) {
-  if (commands.empty() || !context_.election.lease_valid()) return;
+void DirectCommandDispatcher::send(const std::vector<DirectStop>& stops, Response response) {
+  if (stops.empty() || !context_.election.lease_valid()) return;
   std::map<std::string, std::vector<Command>> by_machine;
-  for (const auto& [machine, command] : commands) by_machine[machine].push_back(command);
+  for (const auto& stop : stops) {
+    by_machine[stop.machine].push_back({Command::Op::Stop, stop.task, stop.attempt, stop.grace});
+  }
   const auto deadline = context_.now() + context_.settings.heartbeat_interval;
-  for (auto& [machine, machine_commands] : by_machine) {
+  for (auto& [machine, machine_stops] : by_machine) {
     if (queue_.size() >= kMaxQueuedPerMachine * machines_.all().size()) break;
-    queue_.push_back({machine, std::move(machine_commands), deadline, response});
+    queue_.push_back({machine, std::move(machine_stops), deadline, response});
   }
   send_queued();
 }
@@ -47,7 +49,7 @@
 void DirectCommandDispatcher::send_request(const Request& request,
                                            const cluster::Machine& machine) {
   ++in_flight_;
-  auto body = wire::encode_direct_commands(context_.token, machine.epoch, request.commands);
+  auto body = wire::encode_direct_commands(context_.token, machine.epoch, request.stops);
   auto on_result = [this, response = request.response](const HttpResponse& http_response) {
     on_http_response(http_response, response);
   };
--- a/src/leader/direct_command_dispatcher.hpp
+++ b/src/leader/direct_command_dispatcher.hpp
@@ -2,6 +2,7 @@
 /// @file
 /// Sends commands directly to workers, without waiting for their next heartbeats.
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <string>
@@ -12,17 +13,20 @@
 
 namespace asterstair::leader {
 
-/// A command and the machine that it is sent to.
-struct DirectCommand {
+/// A stop command that is sent directly to a worker.
+struct DirectStop {
   /// Name of the machine.
   std::string machine;
-  /// The command for its worker.
-  Command command;
+  TaskId task;                ///< the task to stop
+  std::uint64_t attempt = 0;  ///< the attempt to stop
+  Seconds grace{0};           ///< time that the attempt has to save a checkpoint
 };
 
 /// A bounded queue of direct commands, of which a bounded number is in flight. Only stop commands
-/// are sent directly: they may be repeated or lost, since the responses to heartbeats repeat them.
-/// Direct commands do not renew a worker's lease. Owned by Term.
+/// can be sent directly: they may be lost, repeated or late, since the responses to heartbeats
+/// repeat them. A late copy of a start could start a task that has ended, moved or been cancelled
+/// in the meantime; see "Late copies of starts" in docs/design.md. Direct commands do not renew a
+/// worker's lease. Owned by Term.
 class DirectCommandDispatcher {
  public:
   /// What happens to the response to a command, which holds the worker's status after the command.
@@ -36,14 +40,14 @@
                           std::function<void(const Heartbeat&)> on_response)
       : context_(context), machines_(machines), on_response_(std::move(on_response)) {}
 
-  /// Queues the commands, as one request per machine. Requests that cannot be sent within a
+  /// Queues the stops, as one request per machine. Requests that cannot be sent within a
   /// heartbeat interval, or that exceed the queue's limit, are dropped.
-  void send(const std::vector<DirectCommand>& commands, Response response = Response::Ignore);
+  void send(const std::vector<DirectStop>& stops, Response response = Response::Ignore);
 
  private:
   struct Request {
     std::string machine;
-    std::vector<Command> commands;
+    std::vector<Command> stops;
     TimePoint deadline;
     Response response = Response::Ignore;
   };
--- a/src/leader/gang_controller.cpp
+++ b/src/leader/gang_controller.cpp
@@ -18,18 +18,18 @@
 }  // namespace
 
 void GangController::stop_broken_gangs() {
-  std::vector<DirectCommand> commands;
+  std::vector<DirectStop> stops;
   for (const auto& [id, job] : cluster_.jobs.all()) {
     if (!job.spec->gang() || job.assignments.empty() || job.waiting.empty()) continue;
-    stop_gang(job, Seconds(0), commands);
+    stop_gang(job, Seconds(0), stops);
   }
-  direct_commands_.send(commands);
+  direct_commands_.send(stops);
 }
 
 // Tasks of a machine that is only being drained are not stopped here: they may end by themselves.
 void GangController::on_preemption_notice(Machine& machine) {
   if (!machine.reclaim_at && !machine.health.faulty) return;
-  std::vector<DirectCommand> commands;
+  std::vector<DirectStop> stops;
   for (auto& [id, attempt] : machine.attempts) {
     if (attempt.phase != TaskAttempt::Phase::Observed || attempt.stopping() || !attempt.job) {
       continue;
@@ -39,10 +39,10 @@
     if (!attempt.job->gang()) {
       machine.request_stop(attempt, *grace);
     } else if (const Job* job = cluster_.jobs.find(attempt.task.job)) {
-      stop_gang(*job, *grace, commands);
+      stop_gang(*job, *grace, stops);
     }
   }
-  direct_commands_.send(commands);
+  direct_commands_.send(stops);
 }
 
 // The grace period with which the task is to be stopped; none if it may continue.
@@ -69,8 +69,7 @@
   return job.checkpoint_time + Seconds(context_.settings.gang_peer_timeout);
 }
 
-void GangController::stop_gang(const Job& job, Seconds grace,
-                               std::vector<DirectCommand>& commands) {
+void GangController::stop_gang(const Job& job, Seconds grace, std::vector<DirectStop>& stops) {
   for (const auto& [index, assignment] : job.assignments) {
     Machine* machine = cluster_.machines.find(assignment.machine);
     if (machine == nullptr) continue;
@@ -78,8 +77,7 @@
     if (attempt == nullptr || attempt->stopping()) continue;
     machine->request_stop(*attempt, grace);
     if (job.spec->tasks > 1 && attempt->phase != TaskAttempt::Phase::Pending) {
-      commands.push_back(
-          {machine->id, {Command::Op::Stop, attempt->task, assignment.attempt, grace}});
+      stops.push_back({machine->id, attempt->task, assignment.attempt, grace});
     }
   }
 }
--- a/src/leader/gang_controller.hpp
+++ b/src/leader/gang_controller.hpp
@@ -38,7 +38,7 @@
  private:
   std::optional<Seconds> grace_before_reclaim(const cluster::Machine& machine,
                                               const cluster::TaskAttempt& attempt) const;
-  void stop_gang(const cluster::Job& job, Seconds grace, std::vector<DirectCommand>& commands);
+  void stop_gang(const cluster::Job& job, Seconds grace, std::vector<DirectStop>& stops);
 
   const TermContext& context_;
   cluster::ClusterState& cluster_;
--- a/src/leader/live_jobs.cpp
+++ b/src/leader/live_jobs.cpp
@@ -53,7 +53,7 @@
 // direct commands: a task may start running before the next heartbeat if its image arrives, and a
 // machine that is unreachable or hangs can carry out a direct command later.
 void LiveJobs::stop_tasks(const Job& job) {
-  std::vector<DirectCommand> commands;
+  std::vector<DirectStop> stops;
   for (const auto& [index, assignment] : job.assignments) {
     Machine* machine = cluster_.machines.find(assignment.machine);
     if (machine == nullptr) continue;
@@ -62,10 +62,10 @@
     machine->request_stop(*attempt, Seconds(0));
     if (attempt->phase == TaskAttempt::Phase::Observed ||
         attempt->phase == TaskAttempt::Phase::Dispatched) {
-      commands.push_back({machine->id, {Command::Op::Stop, attempt->task, assignment.attempt}});
+      stops.push_back({machine->id, attempt->task, assignment.attempt});
     }
   }
-  direct_commands_.send(commands);
+  direct_commands_.send(stops);
 }
 
 void LiveJobs::cancel(const std::string& id) {
--- a/src/leader/scheduling_loop.cpp
+++ b/src/leader/scheduling_loop.cpp
@@ -176,7 +176,7 @@
   std::vector<CandidateRef> refs;
   const auto candidates = preemption_candidates(input, plan, refs);
   plan.steps += candidates.size();
-  std::vector<DirectCommand> commands;
+  std::vector<DirectStop> stops;
   for (const auto ref : sched::preempt(input.snapshot, plan, candidates, context_.runtime.rng())) {
     const auto& [machine, attempt] = refs[ref];
     log::debug("task {}/{} on {} is preempted", attempt->task.job, attempt->task.index,
@@ -185,11 +185,10 @@
     machine->request_stop(*attempt, grace);
     // Sends the stop command directly, because other work waits for the resources.
     if (attempt->phase == TaskAttempt::Phase::Observed) {
-      commands.push_back(
-          {machine->id, {Command::Op::Stop, attempt->task, attempt->attempt, grace}});
+      stops.push_back({machine->id, attempt->task, attempt->attempt, grace});
     }
   }
-  direct_commands_.send(commands, DirectCommandDispatcher::Response::Apply);
+  direct_commands_.send(stops, DirectCommandDispatcher::Response::Apply);
 }
 
 }  // namespace asterstair::leader
--- a/tests/sim/worker.cpp
+++ b/tests/sim/worker.cpp
@@ -57,6 +57,18 @@
   });
 }
 
+void Worker::restart(double down_s) {
+  drop_all_tasks();
+  deferred_actions_.clear();
+  ++epoch_;
+  epoch_began_ = environment_.simulator.now();
+  token_ = 0;
+  sequence_ = 0;
+  heartbeat_in_flight_ = false;
+  hang(down_s);
+  request_heartbeat();
+}
+
 bool Worker::hung() const { return now() + kTolerance < hung_until_; }
 
 /// Runs the action now, or when the process resumes if it is hung.
--- a/tests/sim/worker.hpp
+++ b/tests/sim/worker.hpp
@@ -30,6 +30,10 @@
   void give_preemption_notice(double seconds);
   /// Hangs the process for `seconds`. Its clock goes on, and messages are handled when it resumes.
   void hang(double seconds);
+  /// Ends the process and starts it again after `down_s` seconds. The tasks are gone, and so is all
+  /// that it knew of controllers: the fencing token and the order of its heartbeats begin anew. Its
+  /// epoch is the next one.
+  void restart(double down_s);
   /// Whether the process hangs.
   bool hung() const;
 
