Test that gangs which need several pools or zones are brought up

Change: a gang in one zone that needs the spot and the on-demand machines of that zone together, and one that must be spread over zones, from no machine.

--- a/tests/renting_test.cpp
+++ b/tests/renting_test.cpp
@@ -45,4 +45,33 @@
   }
 }
 
+// A job whose tasks each fill a machine, with constraints on their zones.
+Submission whole_machine_job(std::uint32_t tasks, bool gang) {
+  auto job = array_job(tasks, 20);
+  job.workload.gang = gang;
+  job.workload.cpus = 16;
+  job.requirements.spot = true;
+  return job;
+}
+
+// No pool has enough machines for a gang that must be in one zone, wherever that is: the spot and
+// the on-demand machines of a zone are needed together. A gang that must be spread finds room only
+// in two zones. Each must be brought up from nothing, and others that are there must not hinder it.
+TEST(Renting, BringsUpGangsThatNeedSeveralPools) {
+  for (const std::uint64_t seed : {162, 163, 164}) {
+    for (const bool one_zone : {true, false}) {
+      Scenario scenario(seed, 3, 3);
+      scenario.run_until(10);
+      auto job = whole_machine_job(one_zone ? 5 : 8, true);
+      job.requirements.one_zone = one_zone;
+      job.requirements.spread = !one_zone;
+      const auto id = scenario.users.submit(job);
+      scenario.run_until(250);
+      EXPECT_EQ(scenario.checker.final_stage(id), "done")
+          << (one_zone ? "one zone" : "spread") << ", seed " << seed;
+      EXPECT_TRUE(scenario.checker.violations.empty()) << scenario.checker.report();
+    }
+  }
+}
+
 }  // namespace
