--- a/tests/deposed_leader_test.cpp
+++ b/tests/deposed_leader_test.cpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "sim/scenario.hpp"
+#include "sim/traffic.hpp"
 #include "store/records.hpp"
 
 namespace {
@@ -80,11 +81,7 @@
 
   // The deposed leader's reads of the leader key get no answer, while all its other requests do.
   void drop_reads_of_the_leader_key() {
-    const auto from = scenario.node_name(leader);
-    scenario.network.drop_request = [from](const std::string& sender, const std::string&,
-                                           const HttpRequest& request) {
-      return sender == from && request.target == "/keys/leader";
-    };
+    sim::drop_reads_of_the_leader_key(scenario.network, scenario.node_name(leader));
   }
 
   void run_for(double seconds) { scenario.run_until(scenario.simulator.elapsed() + seconds); }
@@ -158,7 +155,6 @@
 TEST(DeposedLeader, RestartsLostTasksOnceItsLeadershipIsConfirmed) {
   CutZone cut(120);
   ASSERT_TRUE(cut.prepare(0));
-  const auto leader = cut.scenario.node_name(cut.leader);
   for (const auto& worker : cut.scenario.cloud.running_workers()) {
     const bool runs_the_job =
         worker->free().cpus < 1 && cut.scenario.checker.tasks_present(cut.job);
@@ -201,10 +197,7 @@
     scenario.store.overwrite(store::machine_registry_key(2), {{"machines", Json::array()}});
     scenario.set_control_plane_drop(first, true);
     reach_only([&](int node) { return node == first; });
-    while (scenario.leader(first) < 0 && scenario.simulator.elapsed() < 50) {
-      scenario.run_until(scenario.simulator.elapsed() + 0.1);
-    }
-    const int second = scenario.leader(first);
+    const int second = scenario.run_until_led(50, first);
     ASSERT_GE(second, 0);
     const double elected = scenario.simulator.elapsed();
     // The second leader is cut off and replaced. Its successor reaches the victim.
@@ -212,11 +205,8 @@
     scenario.set_control_plane_drop(second, true);
     reach_only([&](int node) { return node != first && node != second; });
     scenario.run_until(elected + 25);
-    const auto blocked = scenario.node_name(second);
-    scenario.network.drop_request = [&](const std::string& from, const std::string&,
-                                        const HttpRequest& request) {
-      return from == blocked && request.target == "/keys/leader";
-    };
+    const auto& blocked = scenario.node_name(second);
+    drop_reads_of_the_leader_key(scenario.network, blocked);
     scenario.network.set_two_way_drop(blocked, "state", false);
     // A store lease and a worker's lease after its election.
     scenario.run_until(elected + 20 + 10.4);
--- a/tests/randomized_simulation_test.cpp
+++ b/tests/randomized_simulation_test.cpp
@@ -54,6 +54,15 @@
   return std::string(std::get<0>(info.param).name) + "_" + std::to_string(std::get<1>(info.param));
 }
 
+const FaultMix kZonePartitionsWithCrashes{.name = "zone_partitions_with_crashes",
+                                          .node_crashes = true,
+                                          .zone_partitions = true,
+                                          .nodes = 5};
+const FaultMix kZonePartitionsWithSpotPreemptions{.name = "zone_partitions_with_spot_preemptions",
+                                                  .spot_preemptions = true,
+                                                  .duplicate_requests = true,
+                                                  .zone_partitions = true};
+
 // Combinations of two or more faults, as in the documentation for operators.
 INSTANTIATE_TEST_SUITE_P(
     CompoundFaults, RandomizedSimulation,
@@ -83,14 +92,7 @@
                                               .mass_cancellations = true,
                                               .leader_crashes = true,
                                               .nodes = 5},
-                                     FaultMix{.name = "zone_partitions_with_crashes",
-                                              .node_crashes = true,
-                                              .zone_partitions = true,
-                                              .nodes = 5},
-                                     FaultMix{.name = "zone_partitions_with_spot_preemptions",
-                                              .spot_preemptions = true,
-                                              .duplicate_requests = true,
-                                              .zone_partitions = true},
+                                     kZonePartitionsWithCrashes, kZonePartitionsWithSpotPreemptions,
                                      FaultMix{.name = "machine_hangs_with_crashes",
                                               .node_crashes = true,
                                               .machine_hangs = true,
@@ -177,19 +179,10 @@
     parameter_name);
 
 // Seeds with which a deposed leader started tasks that ran under its successor (review/4).
-INSTANTIATE_TEST_SUITE_P(
-    DeposedLeaders, RandomizedSimulation,
-    testing::Values(std::tuple(FaultMix{.name = "zone_partitions_with_crashes",
-                                        .node_crashes = true,
-                                        .zone_partitions = true,
-                                        .nodes = 5},
-                               2034),
-                    std::tuple(FaultMix{.name = "zone_partitions_with_spot_preemptions",
-                                        .spot_preemptions = true,
-                                        .duplicate_requests = true,
-                                        .zone_partitions = true},
-                               1006)),
-    parameter_name);
+INSTANTIATE_TEST_SUITE_P(DeposedLeaders, RandomizedSimulation,
+                         testing::Values(std::tuple(kZonePartitionsWithCrashes, 2034),
+                                         std::tuple(kZonePartitionsWithSpotPreemptions, 1006)),
+                         parameter_name);
 
 // Guards against state that does not follow from the seed, such as iteration by address: a failure
 // could then not be reproduced.
--- a/tests/sim/scenario.cpp
+++ b/tests/sim/scenario.cpp
@@ -73,6 +73,14 @@
   return -1;
 }
 
+int Scenario::run_until_led(double end, int except) {
+  constexpr double kCheckIntervalS = 0.1;
+  while (leader(except) < 0 && simulator.elapsed() < end) {
+    run_until(simulator.elapsed() + kCheckIntervalS);
+  }
+  return leader(except);
+}
+
 void Scenario::boot(int node) {
   auto& booted = process(node);
   if (booted.node) return;
--- a/tests/sim/scenario.hpp
+++ b/tests/sim/scenario.hpp
@@ -55,6 +55,10 @@
   /// Runs the simulation until `end`, in seconds since the run began.
   void run_until(double end) { simulator.run_until(end); }
 
+  /// Runs the simulation until a node other than `except` considers itself the leader, at most
+  /// until `end`. Returns that node; -1 if there is none.
+  int run_until_led(double end, int except = -1);
+
   /// Cancels a job once, through the node after this one, like a user who gets no answer from this
   /// one and retries elsewhere.
   void cancel_through_next_node(int node, const std::string& id);
--- a/tests/sim/traffic.cpp
+++ b/tests/sim/traffic.cpp
@@ -22,6 +22,13 @@
   response.body = answer.dump();
 }
 
+void drop_reads_of_the_leader_key(Network& network, const std::string& node) {
+  network.drop_request = [node](const std::string& from, const std::string&,
+                                const HttpRequest& request) {
+    return from == node && request.target == "/keys/leader";
+  };
+}
+
 void drop_direct_commands(Network& network) {
   network.drop_request = [](const std::string&, const std::string&, const HttpRequest& request) {
     return request.target == "/orders";
--- a/tests/sim/traffic.hpp
+++ b/tests/sim/traffic.hpp
@@ -2,6 +2,7 @@
 // Classifies and alters requests and responses, for the hooks of Network.
 
 #include <functional>
+#include <string>
 #include <string_view>
 
 #include "sim/json.hpp"
@@ -19,6 +20,10 @@
 void remove_commands(const HttpRequest& request, HttpResponse& response,
                      const std::function<bool(const Json&)>& which);
 
+/// Drops the node's reads of the leader key. All its other requests are served, so that it does not
+/// notice that it has a successor.
+void drop_reads_of_the_leader_key(Network& network, const std::string& node);
+
 /// Drops all commands that are sent to workers directly instead of in responses to heartbeats.
 void drop_direct_commands(Network& network);
 
--- a/tests/unreachable_leader_test.cpp
+++ b/tests/unreachable_leader_test.cpp
@@ -120,10 +120,9 @@
     const int old = scenario.leader();
     ASSERT_GE(old, 0);
     isolate_with_all_workers(scenario, old);
-    while (scenario.leader(old) < 0 && scenario.simulator.elapsed() < 60)
-      scenario.run_until(scenario.simulator.elapsed() + 0.1);
-    ASSERT_GE(scenario.leader(old), 0);
-    scenario.crash(scenario.leader(old), 0.1);
+    const int next = scenario.run_until_led(60, old);
+    ASSERT_GE(next, 0);
+    scenario.crash(next, 0.1);
     scenario.run_until(110);
     EXPECT_TRUE(scenario.checker.violations.empty()) << "seed " << seed << "\n"
                                                      << scenario.checker.report();
