Read the change again: one expiry of a worker's lease, one module that asks

Cause: the end of a worker's lease was computed in three places; all modules of a term could call the election's confirmation, though one does; and the comment of DeposedLeader.RestartsLostTasksOnceItsLeadershipIsConfirmed told of a cut and of nodes that are down, which it has not, while it isolated machines that do not run the job.

Change: TermContext::worker_lease_expiry serves the three; TermContext has a const election again, and LeaseMonitor gets the one that it asks. The test isolates the machines outside, which run the job, and its comment says what it does; the assertions stay.

--- a/src/leader/lease_monitor.cpp
+++ b/src/leader/lease_monitor.cpp
@@ -37,7 +37,7 @@
   if (confirmation_pending_ || now < next_confirmation_) return;
   confirmation_pending_ = true;
   next_confirmation_ = now + kConfirmationInterval;
-  context_.election.confirm(context_.while_alive([this] {
+  election_.confirm(context_.while_alive([this] {
     confirmation_pending_ = false;
     on_confirmed_();
   }));
--- a/src/leader/lease_monitor.hpp
+++ b/src/leader/lease_monitor.hpp
@@ -24,12 +24,13 @@
 /// node still leads. Owned by Term.
 class LeaseMonitor {
  public:
-  /// All references outlive the monitor. `on_confirmed` runs after each question whether this node
-  /// still leads, unless the term has ended.
-  LeaseMonitor(const TermContext& context, cluster::ClusterState& cluster, AttemptTracker& attempts,
-               MachineRegistry& registry, TermRecovery& recovery,
+  /// All references outlive the monitor. `on_confirmed` runs after each question to `election`
+  /// whether this node still leads, unless the term has ended.
+  LeaseMonitor(const TermContext& context, Election& election, cluster::ClusterState& cluster,
+               AttemptTracker& attempts, MachineRegistry& registry, TermRecovery& recovery,
                std::function<void()> on_confirmed)
       : context_(context),
+        election_(election),
         cluster_(cluster),
         attempts_(attempts),
         registry_(registry),
@@ -45,6 +46,7 @@
   void request_confirmation();
 
   const TermContext& context_;
+  Election& election_;
   cluster::ClusterState& cluster_;
   AttemptTracker& attempts_;
   MachineRegistry& registry_;
--- a/src/leader/term.cpp
+++ b/src/leader/term.cpp
@@ -36,7 +36,8 @@
                   scheduling_trigger_),
       heartbeats_(context_, cluster_, returned_machines_, recovery_, registry_, health_, attempts_,
                   gangs_, heartbeat_commands_, scheduling_),
-      lease_monitor_(context_, cluster_, attempts_, registry_, recovery_, [this] { run_cycle(); }),
+      lease_monitor_(context_, election, cluster_, attempts_, registry_, recovery_,
+                     [this] { run_cycle(); }),
       removal_(cluster_, attempts_, registry_, returned_machines_, recovery_),
       consolidator_(context_, snapshots_, scheduling_, recovery_, gangs_) {}
 
--- a/src/leader/term_context.hpp
+++ b/src/leader/term_context.hpp
@@ -24,8 +24,8 @@
   Runtime& runtime;
   /// Client of the state service.
   store::Store& store;
-  /// The leader's lease. Modules read its state; LeaseMonitor also asks for a confirmation.
-  Election& election;
+  /// The leader's lease.
+  const Election& election;
   /// The platform's settings.
   const Settings& settings;
   /// The machine types.
@@ -49,17 +49,22 @@
     return to_duration(Seconds(seconds(settings.lease) * (1 + kClockDrift))) + kLeaseMargin;
   }
 
+  /// When a worker's lease has expired, by this node's clock, if it was renewed at this time at the
+  /// latest.
+  TimePoint worker_lease_expiry(TimePoint latest_renewal) const {
+    return latest_renewal + max_worker_lease();
+  }
   /// Whether a worker's lease that was renewed at this time at the latest, as far as this leader
   /// and its predecessors know, has expired by this node's clock. A successor may have renewed it
   /// since.
   bool worker_lease_timed_out(TimePoint latest_renewal) const {
-    return now() - latest_renewal > max_worker_lease();
+    return now() > worker_lease_expiry(latest_renewal);
   }
   /// Whether the worker's lease has expired in any case: it had timed out while this node was still
   /// known to have no successor. Whatever a successor answers later, the worker has ended all tasks
   /// of that epoch by then. See "Why an expiry must be confirmed" in docs/design.md.
   bool worker_lease_expired(TimePoint latest_renewal) const {
-    return election.confirmed_at() - latest_renewal > max_worker_lease();
+    return election.confirmed_at() > worker_lease_expiry(latest_renewal);
   }
 
   /// Wraps a module's callback so that it does nothing once the term has ended. The term is kept
--- a/src/leader/term_recovery.cpp
+++ b/src/leader/term_recovery.cpp
@@ -158,7 +158,8 @@
   if (!registry_.complete()) {
     log::info(
         "term {}: the machine registry may be incomplete; reconciled in {:.1f} s at the earliest",
-        context_.token, seconds(unlisted_leases_expiry() - context_.now()));
+        context_.token,
+        seconds(context_.worker_lease_expiry(context_.previous_leaders_expiry) - context_.now()));
   }
   finish_recovery();
 }
@@ -192,11 +193,6 @@
   check_reconciled();
 }
 
-// Time after which a worker that has had no response from this leader has no lease.
-TimePoint TermRecovery::unlisted_leases_expiry() const {
-  return context_.previous_leaders_expiry + context_.max_worker_lease();
-}
-
 // Whether a machine that this leader does not know may have tasks.
 bool TermRecovery::may_miss_machines() const {
   return !registry_.complete() && !context_.worker_lease_expired(context_.previous_leaders_expiry);
@@ -208,7 +204,7 @@
 }
 
 // The response to the heartbeat may renew the machine's lease, so that it outlasts
-// unlisted_leases_expiry().
+// those that earlier leaders renewed.
 void TermRecovery::on_unlisted_machine(const std::string& machine) {
   if (!reconciled_ && may_miss_machines()) unreconciled_.insert(machine);
 }
--- a/src/leader/term_recovery.hpp
+++ b/src/leader/term_recovery.hpp
@@ -69,7 +69,6 @@
   void rebuild_waiting_tasks();
   void load_registry();
   void on_registry(const store::ListResult& result);
-  TimePoint unlisted_leases_expiry() const;
   bool may_miss_machines() const;
   void adopt_registered(const std::string& name);
   void reload_later();
--- a/tests/deposed_leader_test.cpp
+++ b/tests/deposed_leader_test.cpp
@@ -59,6 +59,8 @@
            inside_.size() == 4;
   }
 
+  bool is_outside(const Worker& worker) const { return worker.zone != zone_; }
+
   // Cuts the zone off from everything else.
   void begin_cut(CutMode mode) {
     if (mode == CutMode::Held) {
@@ -149,16 +151,16 @@
   }
 }
 
-// A machine outside is lost while the zone is cut off and no other node takes over, because the
-// others are down. The confirmation that the expiry needs must not be lost with the first read that
-// fails: its task starts elsewhere once the state service answers again.
+// The machines of a job are lost while the leader's reads of its key get no answer. The
+// confirmation that the expiry needs must not be lost with the first read that fails: the tasks
+// start elsewhere once the reads are answered again, and not before.
 TEST(DeposedLeader, RestartsLostTasksOnceItsLeadershipIsConfirmed) {
   CutZone cut(120);
   ASSERT_TRUE(cut.prepare(0));
   for (const auto& worker : cut.scenario.cloud.running_workers()) {
-    const bool runs_the_job =
-        worker->free().cpus < 1 && cut.scenario.checker.tasks_present(cut.job);
-    if (runs_the_job) cut.scenario.network.isolate(worker->id);
+    if (cut.is_outside(*worker) && worker->has_live_tasks()) {
+      cut.scenario.network.isolate(worker->id);
+    }
   }
   cut.run_for(8);
   cut.drop_reads_of_the_leader_key();
